--- /dev/null
+++ b/src/cloud/cloud.ts
@@ -0,0 +1,57 @@
+import { HttpClient } from '../net/client.js';
+import {
+  deleteOut,
+  parseList,
+  parseRented,
+  parseTypes,
+  rentOut,
+  type ListedMachine,
+  type RentRequest,
+} from '../wire/cloud.js';
+import type { MachineType } from '../model/machine.js';
+
+const timeoutMs = 5000;
+const pageItems = 500;
+
+/** The cloud as the core sees it. Its rate is kept by the core. */
+export class Cloud {
+  private readonly client: HttpClient;
+
+  constructor(addr: string) {
+    this.client = new HttpClient(addr, 4);
+  }
+
+  async types(): Promise<MachineType[] | null> {
+    const r = await this.client.call('GET', '/machine_types', null, timeoutMs);
+    return r?.status === 200 ? parseTypes(r.body) : null;
+  }
+
+  async rent(request: RentRequest): Promise<{ hosts: string[] } | 'none' | 'refused' | 'unknown'> {
+    const r = await this.client.call('POST', '/rentals', rentOut(request), timeoutMs);
+    if (r === null) return 'unknown';
+    if (r.status === 200) {
+      const hosts = parseRented(r.body);
+      return hosts === null ? 'unknown' : { hosts };
+    }
+    if (r.status === 503) return (r.body as { error?: unknown } | null)?.error === 'no capacity' ? 'none' : 'refused';
+    return r.status === 429 || r.status === 400 ? 'refused' : 'unknown';
+  }
+
+  async delete(hosts: string[]): Promise<boolean> {
+    const r = await this.client.call('POST', '/rentals/delete', deleteOut(hosts), timeoutMs);
+    return r?.status === 200;
+  }
+
+  async list(): Promise<ListedMachine[] | null> {
+    const all: ListedMachine[] = [];
+    for (let from = ''; ; ) {
+      const path = `/rentals?${from === '' ? '' : `from=${from}&`}limit=${pageItems}`;
+      const r = await this.client.call('GET', path, null, timeoutMs);
+      const page = r?.status === 200 ? parseList(r.body) : null;
+      if (!page) return null;
+      all.push(...page.machines);
+      if (!page.more || page.machines.length === 0) return all;
+      from = page.machines[page.machines.length - 1].host;
+    }
+  }
+}
--- /dev/null
+++ b/src/config/operators.ts
@@ -0,0 +1,90 @@
+import { createRequire } from 'node:module';
+import { readFileSync } from 'node:fs';
+import { SettingsError } from './settings.js';
+
+/**
+ * The operators' own settings, written as S-expressions:
+ *
+ *     (dapplepick (hazard-weight 10) (round-s 10))
+ *
+ * Every one has a default; `docs/settings.md` tells what they do. Times that depend on the
+ * deployment are ratios to figures of the platform's settings.
+ */
+export const defaults = {
+  /** A of HELIOS: price of one interruption, per CPU-hour and unit of hazard. */
+  'hazard-weight': 10,
+  /** Weight of the gap between a premium machine's price and the cheapest on-demand price. */
+  'anchor-weight': 0.5,
+  /** Share of each machine's CPUs kept free in placement. */
+  headroom: 0,
+  /** Length of a placement round. */
+  'round-s': 10,
+  /** Hazard is counted per step of this length (the paper's step is its 5-minute round). */
+  'hazard-step-s': 10,
+  /** Hazard assumed before anything was seen, per machine-hour. */
+  'hazard-prior': 0.5,
+  /** Share of running tasks that may move in one move window. */
+  'move-share': 0.05,
+  'move-window-s': 10,
+  'residency-s': 60,
+  /** How long a grant is good for without being confirmed. */
+  'grant-s': 30,
+  /** A node's state lease, as a share of the workers' lease. */
+  'node-lease-ratio': 0.33,
+  /** An idle machine is kept for this many boot times. */
+  'idle-boots': 1,
+  /** Shards; 0: one per controller. */
+  shards: 0,
+};
+
+export type Operators = Record<keyof typeof defaults, number>;
+
+interface Form {
+  type: string;
+  content: string | Form[];
+  location?: { start: { line: number } };
+}
+
+export function parseOperators(text: string, origin = 'operators'): Operators {
+  const load = createRequire(import.meta.url);
+  const { parse } = load('sexpr-plus') as { parse: (text: string) => Form[] };
+  let forms: Form[];
+  try {
+    forms = parse(text);
+  } catch (e) {
+    throw new SettingsError(`${origin}: not a valid S-expression: ${String((e as Error).message).split('\n')[0]}`);
+  }
+  const out: Operators = { ...defaults };
+  if (forms.length === 0) return out;
+  const top = forms[0];
+  const items = Array.isArray(top.content) ? top.content : [];
+  if (forms.length !== 1 || top.type !== 'list' || items[0]?.content !== 'dapplepick')
+    throw new SettingsError(`${origin}: expected one form (dapplepick (NAME VALUE) ...)`);
+  for (const item of items.slice(1)) {
+    const line = item.location?.start.line ?? 0;
+    const pair = Array.isArray(item.content) ? item.content : [];
+    const key = pair[0]?.content;
+    if (pair.length !== 2 || typeof key !== 'string')
+      throw new SettingsError(`${origin}: line ${line}: expected (NAME VALUE)`);
+    if (!Object.hasOwn(defaults, key)) throw new SettingsError(`${origin}: line ${line}: ${key}: unknown setting`);
+    const value = Number(pair[1].content);
+    if (pair[1].type !== 'atom' || !Number.isFinite(value) || value < 0)
+      throw new SettingsError(`${origin}: line ${line}: ${key}: must be a number of at least 0`);
+    out[key as keyof Operators] = value;
+  }
+  for (const key of ['round-s', 'hazard-step-s', 'move-window-s', 'grant-s', 'node-lease-ratio'] as const)
+    if (out[key] <= 0) throw new SettingsError(`${origin}: ${key}: must be above 0`);
+  if (out.headroom >= 1) throw new SettingsError(`${origin}: headroom: must be below 1`);
+  if (!Number.isInteger(out.shards)) throw new SettingsError(`${origin}: shards: must be a whole number`);
+  return out;
+}
+
+export function loadOperators(path: string): Operators {
+  let text: string;
+  try {
+    text = readFileSync(path, 'utf8');
+  } catch (e) {
+    throw new SettingsError(`${path}: cannot be read: ${(e as NodeJS.ErrnoException).code ?? String(e)}`);
+  }
+  return parseOperators(text, path);
+}
--- /dev/null
+++ b/src/config/settings.ts
@@ -0,0 +1,127 @@
+import { readFileSync } from 'node:fs';
+import { parse } from 'smol-toml';
+import * as v from 'valibot';
+
+/** A settings problem that the operator can mend: one line, naming the field. */
+export class SettingsError extends Error {}
+
+const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
+const positive = v.pipe(v.number(), v.finite(), v.gtValue(0));
+const count = v.pipe(v.number(), v.integer(), v.minValue(1));
+const name = v.pipe(v.string(), v.nonEmpty());
+const address = v.pipe(v.string(), v.regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, 'must be IPv4:port'));
+
+const team = v.object({
+  name,
+  cpus: v.optional(amount, 0),
+  cpus_max: v.optional(amount, 0),
+  gpus: v.optional(amount, 0),
+  gpus_max: v.optional(amount, 0),
+});
+
+const objective = v.object({
+  kind: v.string(),
+  class: v.optional(v.string(), ''),
+  within_s: v.optional(amount),
+  share: v.optional(amount),
+  times: v.optional(amount, 1),
+});
+
+const file = v.object({
+  member: name,
+  location: name,
+  public_addr: address,
+  back: address,
+  others: v.optional(v.array(v.object({ member: name, location: name, peer_addr: address })), []),
+  endpoints: v.object({ cloud: address, state: address }),
+  deployment: v.object({
+    nodes: v.optional(count),
+    zones: v.array(name),
+    time_bound_ms: v.optional(amount, 0),
+    teams: v.array(team),
+    objectives: v.optional(v.array(objective), []),
+    workers: v.object({
+      report_s: positive,
+      lease_s: positive,
+      gang_wait_s: positive,
+      gang_peer_s: positive,
+      cancel_s: positive,
+    }),
+    state: v.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: count }),
+    cloud: v.object({ rps: positive, list_lag_s: amount }),
+    quota: v.optional(
+      v.object({ cores: v.optional(positive, 1), mem_mb: v.optional(positive, 512), fd_limit: v.optional(count, 1024) }),
+      {},
+    ),
+  }),
+});
+
+type SettingsFile = v.InferOutput<typeof file>;
+export type TeamLimits = v.InferOutput<typeof team>;
+export type Objective = v.InferOutput<typeof objective>;
+
+export interface Settings {
+  member: string;
+  zone: string;
+  publicAddr: string;
+  peerAddr: string;
+  peers: { member: string; zone: string; addr: string }[];
+  endpoints: { cloud: string; state: string };
+  zones: string[];
+  timeBoundMs: number;
+  teams: TeamLimits[];
+  objectives: Objective[];
+  workers: SettingsFile['deployment']['workers'];
+  state: SettingsFile['deployment']['state'];
+  cloud: SettingsFile['deployment']['cloud'];
+  quota: { cores: number; mem_mb: number; fd_limit: number };
+}
+
+export function parseSettings(text: string, origin = 'settings'): Settings {
+  let raw: unknown;
+  try {
+    raw = parse(text);
+  } catch (e) {
+    throw new SettingsError(`${origin}: not valid TOML: ${String((e as Error).message).split('\n')[0]}`);
+  }
+  const result = v.safeParse(file, raw);
+  if (!result.success) {
+    const issue = result.issues[0];
+    throw new SettingsError(`${origin}: ${v.getDotPath(issue) ?? '(top level)'}: ${issue.message}`);
+  }
+  const s = result.output;
+  const d = s.deployment;
+  if (d.workers.cancel_s <= d.workers.lease_s)
+    throw new SettingsError(`${origin}: deployment.workers.cancel_s: must be longer than lease_s`);
+  return {
+    member: s.member,
+    zone: s.location,
+    publicAddr: s.public_addr,
+    peerAddr: s.back,
+    peers: s.others.map((o) => ({ member: o.member, zone: o.location, addr: o.peer_addr })),
+    endpoints: s.endpoints,
+    zones: d.zones,
+    timeBoundMs: d.time_bound_ms,
+    teams: d.teams,
+    objectives: d.objectives,
+    workers: d.workers,
+    state: d.state,
+    cloud: d.cloud,
+    quota: d.quota as Settings['quota'],
+  };
+}
+
+export function loadSettings(path: string): Settings {
+  let text: string;
+  try {
+    text = readFileSync(path, 'utf8');
+  } catch (e) {
+    throw new SettingsError(`${path}: cannot be read: ${(e as NodeJS.ErrnoException).code ?? String(e)}`);
+  }
+  return parseSettings(text, path);
+}
+
+export function splitAddr(addr: string): { host: string; port: number } {
+  const at = addr.lastIndexOf(':');
+  return { host: addr.slice(0, at), port: Number(addr.slice(at + 1)) };
+}
--- /dev/null
+++ b/src/core/controller.ts
@@ -0,0 +1,196 @@
+import type { Operators } from '../config/operators.js';
+import type { Settings } from '../config/settings.js';
+import type { Report } from '../model/report.js';
+import { answerOut, redirectOut } from '../wire/worker.js';
+import { Committer } from './committer.js';
+import { Desk } from './desk.js';
+import { Dispatcher } from './dispatcher.js';
+import type { Clock, Command, Effect, Log } from './effects.js';
+import { Fleet } from './fleet.js';
+import { Membership } from './membership.js';
+import { Replica } from './replica.js';
+
+/**
+ * The one owner of all state of a process. Commands go in by batches, effects come out; given the same
+ * commands and clock readings, the effects are the same.
+ */
+export class Controller {
+  readonly replica: Replica;
+  readonly membership: Membership;
+  readonly dispatcher: Dispatcher;
+  readonly fleet: Fleet;
+  private readonly committer: Committer;
+  private readonly desk: Desk;
+  private readonly clock: Clock = { now: 0, wall: 0 };
+  /** The view is known to include everything up to this moment, ms. */
+  private viewAt = -Infinity;
+  private readings: { sentAt: number; epoch: number }[] = [];
+  private readAt = -Infinity;
+  private wasLeading = false;
+  private shardsChanged = true;
+
+  constructor(
+    private readonly settings: Settings,
+    operators: Operators,
+    private readonly run: string,
+    private readonly log: Log,
+  ) {
+    this.replica = new Replica({
+      jobChanged: (id, now) => this.dispatcher.jobChanged(id, now),
+      machineChanged: (host, now) => this.dispatcher.machineChanged(host, now),
+      shardChanged: () => (this.shardsChanged = true),
+    });
+    const s = settings.state;
+    this.committer = new Committer(
+      run,
+      {
+        ops: s.txn_ops,
+        conditions: s.txn_ops * 4,
+        // Room for the frame around the values, and for the reading of non-ASCII text.
+        bytes: 48 * 1024,
+        writesPerS: s.write_rps / 2,
+      },
+      this.replica,
+      log,
+    );
+    this.membership = new Membership(settings, operators, run, this.replica, this.committer, log);
+    this.desk = new Desk(settings, this.replica, this.committer, this.clock);
+    this.dispatcher = new Dispatcher(settings, operators, run, this.replica, this.committer, this.clock, log);
+    this.fleet = new Fleet(settings, operators, this.replica, this.committer, this.clock, log);
+    this.fleet.hazardPerStep = () => this.dispatcher.hazard.perStep(operators['hazard-step-s']);
+  }
+
+  get healthy(): boolean {
+    return this.replica.epoch >= 0;
+  }
+
+  step(commands: Command[], clock: Clock): Effect[] {
+    const out: Effect[] = [];
+    this.clock.now = clock.now;
+    this.clock.wall = clock.wall;
+    this.desk.out = out;
+    for (const c of commands) this.handle(c, out);
+    this.settle();
+    this.membership.tick(clock.now, out);
+    const leading = this.membership.leading;
+    if (leading !== this.wasLeading) {
+      this.wasLeading = leading;
+      this.log('info', leading ? 'leading' : 'no longer leading');
+      this.fleet.reset();
+    }
+    if (leading) this.fleet.tick(out);
+    this.dispatcher.tick();
+    this.desk.pump(out);
+    this.committer.pump(clock.now, out);
+    // Also without requests the view's age must be known: workers are answered only from a fresh one.
+    if (clock.now - this.readAt > this.dispatcher.freshLimitMs / 8 && this.replica.epoch >= 0) out.push({ e: 'epoch' });
+    if (out.some((o) => o.e === 'epoch')) this.readAt = clock.now;
+    return out;
+  }
+
+  private settle(): void {
+    this.readings = this.readings.filter((r) => {
+      if (r.epoch > this.replica.epoch) return true;
+      this.viewAt = Math.max(this.viewAt, r.sentAt);
+      return false;
+    });
+    if (this.readings.length > 50) this.readings.splice(0, 25);
+    if (this.shardsChanged) {
+      this.dispatcher.syncShards();
+      // A grant may be visible before the view has reached it: looked at again until it is taken up.
+      this.shardsChanged = [...this.replica.shards].some(
+        ([k, g]) =>
+          g.owner === this.settings.member && g.run === this.run && !this.dispatcher.owned.has(k),
+      );
+    }
+  }
+
+  get viewAgeMs(): number {
+    return this.clock.now - this.viewAt;
+  }
+
+  private handle(c: Command, out: Effect[]): void {
+    switch (c.c) {
+      case 'tick':
+        break;
+      case 'submit':
+        this.desk.submit(c.rid, c.spec, out);
+        break;
+      case 'query':
+        this.desk.query(c.rid, c.id, out);
+        break;
+      case 'withdraw':
+        this.desk.withdraw(c.rid, c.id, out);
+        break;
+      case 'checkin':
+        this.checkin(c.rid, c.report, out);
+        break;
+      case 'loaded':
+        this.replica.load(c.items, c.epoch);
+        this.log('info', 'state loaded', { epoch: c.epoch, keys: c.items.length });
+        this.shardsChanged = true;
+        break;
+      case 'changes':
+        this.replica.advance(c.changes, c.epoch);
+        break;
+      case 'committed':
+        this.committer.outcome(c.outcome, this.clock.now, out);
+        break;
+      case 'epoch':
+        if (c.epoch !== null) this.readings.push({ sentAt: c.sentAt, epoch: c.epoch });
+        this.desk.epochRead(c.sentAt, c.epoch, out);
+        break;
+      case 'leased':
+        this.membership.leased(c.hold, this.clock.now);
+        break;
+      case 'renewed':
+        this.membership.renewed(c.hold, c.outcome, this.clock.now);
+        break;
+      case 'types':
+        this.fleet.gotTypes(c.types);
+        break;
+      case 'rented':
+        this.fleet.rented(c.request, c.outcome);
+        break;
+      case 'deleted':
+        this.fleet.deleted(c.hosts, c.ok);
+        break;
+      case 'listed':
+        this.fleet.listed(c.machines, c.askedAt);
+        break;
+    }
+  }
+
+  private checkin(rid: number, report: Report, out: Effect[]): void {
+    const answer = (status: number, body: object, retryAfterS?: number) =>
+      void out.push({ e: 'answer', rid, status, body, retryAfterS });
+    // Guards against acting on an old view: a cancellation seen by users could be missed here, and the
+    // answer would keep the task alive.
+    if (this.viewAgeMs > this.dispatcher.freshLimitMs) return answer(503, {}, 1);
+    const { member } = this.settings;
+    const m = this.replica.machines.get(report.host);
+    if (!m) {
+      if (this.membership.leading) {
+        this.fleet.unexpected(report);
+        return answer(503, {}, 1);
+      }
+      return answer(421, redirectOut(this.replica.lead?.member ?? null));
+    }
+    const custodian = this.replica.custodian(m);
+    if (!custodian || custodian.member !== member || custodian.run !== this.run) {
+      const there = custodian !== null && custodian.member !== member && this.replica.isAlive(custodian.member, custodian.run);
+      return answer(421, redirectOut(there ? custodian.member : null));
+    }
+    // Somebody came under a newer token: we are the stale owner and do not know it yet.
+    if (report.token > custodian.token) return answer(421, redirectOut(null));
+    if (m.shard < 0) {
+      this.fleet.heardFrom(m.host);
+      return answer(200, answerOut(custodian.token, []));
+    }
+    const run = this.dispatcher.machines.get(m.host);
+    if (!run) return answer(503, {}, 1);
+    this.fleet.heardFrom(m.host);
+    const orders = this.dispatcher.checkin(run, report, custodian.token);
+    answer(200, answerOut(custodian.token, orders));
+  }
+}
--- /dev/null
+++ b/src/core/desk.ts
@@ -0,0 +1,198 @@
+import type { Settings } from '../config/settings.js';
+import { admissible } from '../policy/admission.js';
+import type { JobSpec } from '../model/job.js';
+import { isJobId, jobStatus } from '../wire/user.js';
+import { Rank, type Committer } from './committer.js';
+import type { Clock, Effect } from './effects.js';
+import { jobKey } from './keys.js';
+import { jobCancelledData, jobData } from './records.js';
+import type { Replica } from './replica.js';
+
+/** What to do with a request once the view is known to be as new as the request. */
+interface Waiter {
+  rid: number;
+  id: string;
+  since: number;
+  /** Revision that the view must have reached; null: still being read. */
+  epoch: number | null;
+  then: 'status' | 'withdraw' | { status: number; body: object };
+}
+
+/** Answers that the users' time limits (2 s for a poll, 5 s for the others) leave no room to wait longer for. */
+const giveUpMs = 1500;
+const giveUpWriteMs = 4000;
+const mostWaiting = 2000;
+
+/**
+ * The users' requests. Final states are answered from memory. Any other answer is given only after the
+ * state's revision was read later than the request came and the watch has reached it: no user may be told
+ * something older than another node has told them already.
+ */
+export class Desk {
+  private waiters: Waiter[] = [];
+  private reading = false;
+  private readonly submits = new Map<string, { rids: number[]; since: number }>();
+  private readonly withdrawals = new Map<string, { rids: number[]; since: number }>();
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly replica: Replica,
+    private readonly committer: Committer,
+    private readonly clock: Clock,
+  ) {}
+
+  submit(rid: number, spec: JobSpec, out: Effect[]): void {
+    if (this.replica.epoch < 0 || this.replica.types.length === 0) return this.later(rid, out);
+    if (this.replica.jobs.has(spec.id)) return this.query(rid, spec.id, out);
+    const bad = admissible(spec, this.replica.types, this.settings);
+    // A job that was accepted must never get 422, so look once more whether it is known.
+    if (bad !== null) return this.wait(rid, spec.id, { status: 422, body: { error: bad } }, out);
+    const pending = this.submits.get(spec.id);
+    if (pending) {
+      pending.rids.push(rid);
+      return;
+    }
+    if (this.submits.size >= mostWaiting) return this.later(rid, out);
+    const mine = { rids: [rid], since: this.clock.now };
+    this.submits.set(spec.id, mine);
+    const answer = (f: (rid: number) => void) => {
+      this.submits.delete(spec.id);
+      mine.rids.forEach(f);
+    };
+    this.committer.add({
+      rank: Rank.user,
+      build: () => ({
+        when: [{ key: jobKey(spec.id), stamp: 0 }],
+        apply: [{ key: jobKey(spec.id), data: jobData(spec, this.clock.wall) }],
+      }),
+      ok: () =>
+        answer((r) => this.out.push({ e: 'answer', rid: r, status: 201, body: { nameId: spec.id, status: 'pending' } })),
+      conflict: () => answer((r) => this.query(r, spec.id, this.out)),
+      refused: () => {
+        answer((r) => this.later(r, this.out));
+        return true;
+      },
+    });
+  }
+
+  query(rid: number, id: string, out: Effect[]): void {
+    if (this.answerFinal(rid, id, out)) return;
+    if (!isJobId(id)) return void out.push({ e: 'answer', rid, status: 404, body: { error: 'no such job' } });
+    if (this.replica.epoch < 0) return this.later(rid, out);
+    this.wait(rid, id, 'status', out);
+  }
+
+  withdraw(rid: number, id: string, out: Effect[]): void {
+    if (this.answerFinal(rid, id, out)) return;
+    if (!isJobId(id)) return void out.push({ e: 'answer', rid, status: 404, body: { error: 'no such job' } });
+    if (this.replica.epoch < 0) return this.later(rid, out);
+    const job = this.replica.jobs.get(id);
+    if (!job) return this.wait(rid, id, 'withdraw', out);
+    const pending = this.withdrawals.get(id);
+    if (pending) {
+      pending.rids.push(rid);
+      return;
+    }
+    const mine = { rids: [rid], since: this.clock.now };
+    this.withdrawals.set(id, mine);
+    const answer = (f: (rid: number) => void) => {
+      this.withdrawals.delete(id);
+      mine.rids.forEach(f);
+    };
+    this.committer.add({
+      rank: Rank.user,
+      build: () => {
+        const now = this.replica.jobs.get(id);
+        if (now?.state !== 'open') {
+          answer((r) => this.withdraw(r, id, this.out));
+          return null;
+        }
+        return {
+          when: [{ key: jobKey(id), stamp: now.stamp }],
+          apply: [{ key: jobKey(id), data: jobCancelledData(now.at, now.spec!) }],
+        };
+      },
+      ok: () => answer((r) => this.withdraw(r, id, this.out)),
+      // The job came to its end meanwhile: say which once the watch has shown it.
+      conflict: () => answer((r) => this.wait(r, id, 'withdraw', this.out)),
+      refused: () => {
+        answer((r) => this.later(r, this.out));
+        return true;
+      },
+    });
+  }
+
+  /** Effects of the running step; set by the controller. */
+  out: Effect[] = [];
+
+  private answerFinal(rid: number, id: string, out: Effect[]): boolean {
+    const job = this.replica.jobs.get(id);
+    if (!job || job.state === 'open') return false;
+    this.answerJob(rid, id, out);
+    return true;
+  }
+
+  private answerJob(rid: number, id: string, out: Effect[]): void {
+    const job = this.replica.jobs.get(id)!;
+    const c = job.state === 'done' ? { done: job.tasks, running: 0 } : this.replica.counts(id);
+    const running = job.state === 'open' ? c.running : 0;
+    out.push({
+      e: 'answer',
+      rid,
+      status: 200,
+      body: { nameId: id, status: jobStatus(job.state, running), done: c.done, running },
+    });
+  }
+
+  private later(rid: number, out: Effect[]): void {
+    out.push({ e: 'answer', rid, status: 503, body: { error: 'try again later' }, retryAfterS: 1 });
+  }
+
+  private wait(rid: number, id: string, then: Waiter['then'], out: Effect[]): void {
+    if (this.waiters.length >= mostWaiting) return this.later(rid, out);
+    this.waiters.push({ rid, id, since: this.clock.now, epoch: null, then });
+  }
+
+  /** A reading of the state's revision that was asked for at `sentAt`. */
+  epochRead(sentAt: number, epoch: number | null, out: Effect[]): void {
+    this.reading = false;
+    for (const w of this.waiters) if (w.epoch === null && w.since <= sentAt) w.epoch = epoch ?? -1;
+    if (epoch === null) {
+      for (const w of this.waiters) if (w.epoch === -1) this.later(w.rid, out);
+      this.waiters = this.waiters.filter((w) => w.epoch !== -1);
+    } else if (epoch > this.replica.epoch) out.push({ e: 'catch-up', epoch });
+  }
+
+  pump(out: Effect[]): void {
+    const now = this.clock.now;
+    if (this.waiters.length > 0) {
+      const left: Waiter[] = [];
+      const ready: Waiter[] = [];
+      for (const w of this.waiters) {
+        if (w.epoch !== null && this.replica.epoch >= w.epoch) ready.push(w);
+        else if (now - w.since > giveUpMs) this.later(w.rid, out);
+        else left.push(w);
+      }
+      this.waiters = left;
+      for (const w of ready) {
+        const known = this.replica.jobs.has(w.id);
+        if (typeof w.then === 'object' && !known)
+          out.push({ e: 'answer', rid: w.rid, status: w.then.status, body: w.then.body });
+        else if (!known) out.push({ e: 'answer', rid: w.rid, status: 404, body: { error: 'no such job' } });
+        else if (w.then === 'withdraw') this.withdraw(w.rid, w.id, out);
+        else this.answerJob(w.rid, w.id, out);
+      }
+      if (!this.reading && this.waiters.some((w) => w.epoch === null)) {
+        this.reading = true;
+        out.push({ e: 'epoch' });
+      }
+    }
+    // Given up: answered at once. The write itself may still go through, and a repeated request finds it.
+    for (const pending of [this.submits, this.withdrawals])
+      for (const p of pending.values())
+        if (now - p.since > giveUpWriteMs && p.rids.length > 0) {
+          for (const rid of p.rids.splice(0)) this.later(rid, out);
+          p.since = now;
+        }
+  }
+}
--- /dev/null
+++ b/src/core/dispatcher.ts
@@ -0,0 +1,813 @@
+import type { Operators } from '../config/operators.js';
+import type { Settings } from '../config/settings.js';
+import { pieceName, type JobSpec } from '../model/job.js';
+import { type Fits, type MachineType } from '../model/machine.js';
+import type { Order, Report, TaskPhase, TaskReport } from '../model/report.js';
+import { teamCap } from '../policy/admission.js';
+import { HazardEstimate } from '../policy/hazard.js';
+import { Rank, type Committer } from './committer.js';
+import type { Clock, Log } from './effects.js';
+import { chunkKey, jobKey, machineKey, shardKey } from './keys.js';
+import { placeRound } from './placement.js';
+import { Bits, chunkData, jobDoneData, machineData, type JobRecord, type JobUse, type Placed } from './records.js';
+import type { Machine, Replica } from './replica.js';
+
+/** A task's present attempt. It exists from the decision to place until it is proven gone. */
+export interface Placement {
+  job: JobRun;
+  index: number;
+  attempt: number;
+  host: string;
+  chunk: Chunk;
+  /** The chunk's version that first holds it: durable once that version is. */
+  version: number;
+  /** Decided by this process, so nobody else can have sent its start. */
+  own: boolean;
+  /** The (session, seq) of the report whose answer carried the start. */
+  sent: [number, number] | null;
+  phase: TaskPhase | 'placed';
+  /** When it was first seen to run, ms; 0: not yet. */
+  ranAt: number;
+  placedAt: number;
+  /** Wanted off its machine, with this much time to save. */
+  stop: { graceS: number; since: number } | null;
+}
+
+export interface Chunk {
+  number: number;
+  base: number;
+  size: number;
+  stamp: number;
+  last: number;
+  done: Bits;
+  /** Version in memory, and the newest version known to be durable. */
+  version: number;
+  durable: number;
+  queued: boolean;
+  /** Not to be written before the view has reached this revision. */
+  blockedUntil: number;
+}
+
+export interface JobRun {
+  id: string;
+  spec: JobSpec;
+  shard: number;
+  at: number;
+  stamp: number;
+  cancelled: boolean;
+  chunks: Chunk[];
+  active: Map<number, Placement>;
+  /** Tasks that wait for a place: those never placed from `fresh` on, and those to be placed again. */
+  fresh: number;
+  retry: number[];
+  done: number;
+  zones: Map<string, number>;
+  finishing: boolean;
+  /** Gang: an attempt is being taken down; nothing starts until all of it is gone. */
+  breaking: boolean;
+  errors: Set<string>;
+  errorCount: number;
+  successes: number;
+  notBefore: number;
+}
+
+export interface MachineRun {
+  host: string;
+  record: Machine;
+  type: MachineType;
+  used: Fits;
+  placements: Map<string, Placement>;
+  endpoint: string;
+  session: number;
+  seq: number;
+  /** Last report under our present token, ms; 0: none yet. */
+  provenAt: number;
+  heardAt: number;
+  /** Not before this can its worker's lease have ended. */
+  leaseUntil: number;
+  token: number;
+  noticeAt: number;
+  avoidUntil: number;
+  idleSince: number;
+  errorJobs: Set<string>;
+  errors: number;
+  images: Set<string>;
+  condemned: boolean;
+  releasing: boolean;
+}
+
+const ordersPerAnswer = 400;
+
+export class Dispatcher {
+  readonly jobs = new Map<string, JobRun>();
+  readonly machines = new Map<string, MachineRun>();
+  readonly owned = new Set<number>();
+  readonly teamUse = new Map<string, Fits>();
+  readonly hazard: HazardEstimate;
+  private readonly chunkTasks: number;
+  private lastRound = -Infinity;
+  /** When a move was last ordered, ms. */
+  movedAt = -Infinity;
+  private lastSweep = -1;
+  private readonly pendingForget = new Map<string, { chunk: Chunk; version: number; job: JobRun }>();
+
+  constructor(
+    readonly settings: Settings,
+    readonly operators: Operators,
+    private readonly run: string,
+    readonly replica: Replica,
+    private readonly committer: Committer,
+    readonly clock: Clock,
+    readonly log: Log,
+  ) {
+    // A placed task takes up to some 40 bytes of its chunk's value.
+    this.chunkTasks = Math.max(16, Math.min(512, Math.floor((settings.state.value_kb * 1024) / 64)));
+    this.hazard = new HazardEstimate(operators['hazard-prior']);
+  }
+
+  /** How old the view may be for answering workers: later, a cancellation could be missed for too long. */
+  get freshLimitMs(): number {
+    const w = this.settings.workers;
+    return Math.min(this.operators['grant-s'], (w.cancel_s - w.lease_s) * 0.85) * 1000;
+  }
+
+  // ---- ownership ----
+
+  /** Takes up shards that were granted to this process and lets go of those that were not. */
+  syncShards(): void {
+    for (const shard of [...this.owned])
+      if (!this.isMine(shard)) {
+        this.owned.delete(shard);
+        for (const [id, job] of this.jobs) if (job.shard === shard) this.dropJob(id);
+        for (const [host, m] of this.machines) if (m.record.shard === shard) this.machines.delete(host);
+        this.log('info', 'shard lost', { shard });
+      }
+    for (const [shard, grant] of this.replica.shards)
+      // The view must include all that earlier owners wrote, so it has to have reached the grant.
+      if (!this.owned.has(shard) && this.isMine(shard) && this.replica.epoch >= grant.stamp) {
+        this.owned.add(shard);
+        for (const m of this.replica.machines.values()) if (m.shard === shard) this.takeMachine(m);
+        for (const job of this.replica.jobs.values()) this.takeJob(job);
+        this.log('info', 'shard taken up', { shard, jobs: this.jobs.size, machines: this.machines.size });
+      }
+  }
+
+  private isMine(shard: number): boolean {
+    const g = this.replica.shards.get(shard);
+    return g?.owner === this.settings.member && g.run === this.run;
+  }
+
+  private takeMachine(record: Machine): void {
+    const type = this.replica.types.find((t) => t.name === record.type);
+    if (!type || this.machines.has(record.host)) return;
+    const now = this.clock.now;
+    this.machines.set(record.host, {
+      host: record.host,
+      record,
+      type,
+      used: { cpus: 0, gpus: 0, memGb: 0 },
+      placements: new Map(),
+      endpoint: '',
+      session: 0,
+      seq: 0,
+      provenAt: 0,
+      heardAt: 0,
+      // Guards against the stale owner: it may have answered this worker until its own view ran out of date.
+      leaseUntil: now + this.freshLimitMs + this.settings.workers.lease_s * 1000,
+      token: 0,
+      noticeAt: 0,
+      avoidUntil: 0,
+      idleSince: now,
+      errorJobs: new Set(),
+      errors: 0,
+      images: new Set(),
+      condemned: record.standing === 'dead',
+      releasing: false,
+    });
+  }
+
+  private takeJob(record: JobRecord): void {
+    if (this.jobs.has(record.id)) return;
+    const spec = record.spec ?? (record.use && this.replica.chunks.has(record.id) ? remains(record, record.use) : null);
+    if (spec === null) return;
+    const shard = this.replica.shardOf(spec.team);
+    if (this.owned.has(shard)) this.buildJob(record, spec, shard);
+  }
+
+  private buildJob(record: JobRecord, spec: JobSpec, shard: number): void {
+    const stored = this.replica.chunks.get(record.id);
+    const job: JobRun = {
+      id: record.id,
+      spec,
+      shard,
+      at: record.at,
+      stamp: record.stamp,
+      cancelled: record.state !== 'open',
+      chunks: [],
+      active: new Map(),
+      fresh: 0,
+      retry: [],
+      done: 0,
+      zones: new Map(),
+      finishing: false,
+      breaking: false,
+      errors: new Set(),
+      errorCount: 0,
+      successes: 0,
+      notBefore: 0,
+    };
+    for (let base = 0, n = 0; base < record.tasks; base += this.chunkTasks, n++) {
+      const c = stored?.get(n);
+      job.chunks.push({
+        number: n,
+        base,
+        size: Math.min(this.chunkTasks, record.tasks - base),
+        stamp: c?.stamp ?? 0,
+        last: c?.last ?? 0,
+        done: c?.done.copy() ?? new Bits(),
+        version: 0,
+        durable: 0,
+        queued: false,
+        blockedUntil: 0,
+      });
+      job.done += c?.done.count() ?? 0;
+    }
+    this.jobs.set(job.id, job);
+    for (const [n, c] of stored ?? [])
+      for (const p of c.placed) {
+        const placement = this.enter(job, job.chunks[n], p, false);
+        if (job.cancelled) placement.stop = { graceS: 0, since: this.clock.now };
+        // The machine has been given back: its task is gone with it.
+        if (!this.replica.machines.has(p.host)) this.gone(placement, 'machine returned');
+      }
+    if (spec.shape === 'gang' && job.active.size > 0) this.checkGang(job);
+    if (job.done >= spec.tasks && !job.cancelled && spec.shape !== 'service') this.finish(job);
+    this.checkCancelled(job);
+  }
+
+  private dropJob(id: string): void {
+    const job = this.jobs.get(id);
+    if (!job) return;
+    for (const p of job.active.values()) {
+      this.machines.get(p.host)?.placements.delete(pieceName(job.id, p.index));
+      this.use(p, -1);
+    }
+    this.jobs.delete(id);
+  }
+
+  // ---- changes seen by the replica ----
+
+  jobChanged(id: string, record: JobRecord | undefined): void {
+    if (!record) return;
+    const job = this.jobs.get(id);
+    if (!job) {
+      if (record.state === 'open') this.takeJob(record);
+      return;
+    }
+    job.stamp = record.stamp;
+    if (record.state === 'cancelled' && !job.cancelled) {
+      job.cancelled = true;
+      for (const p of [...job.active.values()]) {
+        if (p.own && p.sent === null) this.gone(p, 'cancelled before its start');
+        else p.stop = { graceS: 0, since: this.clock.now };
+      }
+      this.checkCancelled(job);
+    }
+  }
+
+  machineChanged(host: string, now: Machine | undefined): void {
+    const m = this.machines.get(host);
+    if (now && this.owned.has(now.shard)) {
+      if (m) {
+        m.record = now;
+        m.releasing = false;
+        if (now.standing === 'dead') m.condemned = true;
+      } else this.takeMachine(now);
+      return;
+    }
+    // Its record is dropped only after the cloud has confirmed the deletion: all that was on it is gone.
+    if (m && !now) for (const p of [...m.placements.values()]) this.gone(p, 'machine returned');
+    this.machines.delete(host);
+  }
+
+  // ---- placements ----
+
+  get chunkSize(): number {
+    return this.chunkTasks;
+  }
+
+  chunkOf(job: JobRun, index: number): Chunk {
+    return job.chunks[Math.floor(index / this.chunkTasks)];
+  }
+
+  private enter(job: JobRun, chunk: Chunk, p: Placed, own: boolean): Placement {
+    const placement: Placement = {
+      job,
+      index: p.index,
+      attempt: p.attempt,
+      host: p.host,
+      chunk,
+      version: own ? chunk.version : 0,
+      own,
+      sent: null,
+      phase: 'placed',
+      ranAt: 0,
+      placedAt: this.clock.now,
+      stop: null,
+    };
+    job.active.set(p.index, placement);
+    this.machines.get(p.host)?.placements.set(pieceName(job.id, p.index), placement);
+    this.use(placement, 1);
+    return placement;
+  }
+
+  /** Counts a placement in or out: in its machine, its team and its zone. */
+  private use(p: Placement, sign: 1 | -1): void {
+    const { spec } = p.job;
+    const m = this.machines.get(p.host);
+    let team = this.teamUse.get(spec.team);
+    if (!team) this.teamUse.set(spec.team, (team = { cpus: 0, gpus: 0, memGb: 0 }));
+    for (const use of m ? [team, m.used] : [team]) {
+      use.cpus += sign * spec.cpus;
+      use.gpus += sign * spec.gpus;
+      use.memGb += sign * spec.memGb;
+    }
+    const zone = m?.record.zone ?? this.replica.machines.get(p.host)?.zone;
+    if (zone !== undefined) p.job.zones.set(zone, (p.job.zones.get(zone) ?? 0) + sign);
+    if (m && m.placements.size === 0) m.idleSince = this.clock.now;
+  }
+
+  teamRoom(team: string): { cpus: number; gpus: number; memGb: number } {
+    const cap = teamCap(this.settings, team);
+    const use = this.teamUse.get(team);
+    return { cpus: cap.cpus - (use?.cpus ?? 0), gpus: cap.gpus - (use?.gpus ?? 0), memGb: Infinity };
+  }
+
+  /** Places tasks of one job together; they start once all of it is durable. */
+  place(job: JobRun, at: { index: number; host: string }[], attempt?: number): void {
+    const chunks = new Set(at.map((a) => this.chunkOf(job, a.index)));
+    for (const c of chunks) c.version++;
+    for (const a of at) {
+      const chunk = this.chunkOf(job, a.index);
+      if (attempt !== undefined) chunk.last = Math.max(chunk.last, attempt);
+      this.enter(job, chunk, { index: a.index, attempt: attempt ?? ++chunk.last, host: a.host }, true);
+    }
+    for (const c of chunks) this.queueChunk(job, c);
+  }
+
+  nextGangAttempt(job: JobRun): number {
+    return Math.max(...job.chunks.map((c) => c.last)) + 1;
+  }
+
+  /** The next task that waits for a place, or -1. */
+  nextWaiting(job: JobRun): number {
+    if (job.retry.length > 0) return job.retry.pop()!;
+    while (job.fresh < job.spec.tasks) {
+      const i = job.fresh++;
+      if (!job.active.has(i) && !this.isDone(job, i)) return i;
+    }
+    return -1;
+  }
+
+  isDone(job: JobRun, index: number): boolean {
+    const c = this.chunkOf(job, index);
+    return c.done.has(index - c.base);
+  }
+
+  waitingCount(job: JobRun): number {
+    return job.spec.tasks - job.done - job.active.size;
+  }
+
+  /** The attempt is proven gone (or over): it counts no more, and its record is to be removed. */
+  private gone(p: Placement, why: string, outcome: 'done' | 'again' = 'again'): void {
+    const { job, chunk } = p;
+    if (job.active.get(p.index) !== p) return;
+    job.active.delete(p.index);
+    this.machines.get(p.host)?.placements.delete(pieceName(job.id, p.index));
+    this.use(p, -1);
+    chunk.version++;
+    this.queueChunk(job, chunk);
+    this.log('debug', 'task gone', { piece: pieceName(job.id, p.index), attempt: p.attempt, host: p.host, why });
+    if (outcome === 'done') {
+      if (!this.isDone(job, p.index)) {
+        chunk.done.add(p.index - chunk.base);
+        job.done++;
+        job.successes++;
+      }
+      if (job.done >= job.spec.tasks && job.spec.shape !== 'service' && !job.cancelled) this.finish(job);
+    } else if (!job.cancelled) {
+      job.retry.push(p.index);
+      if (job.spec.shape === 'gang') this.checkGang(job, p);
+    }
+    this.checkCancelled(job);
+  }
+
+  /** A gang that lost a task cannot go on with this attempt: it is taken down, then placed again whole. */
+  private checkGang(job: JobRun, lost?: Placement): void {
+    const missing = job.spec.tasks - job.done - job.active.size;
+    if (missing > 0 && job.active.size > 0) {
+      if (!job.breaking) this.log('info', 'gang broken', { job: job.id, lost: lost?.index });
+      job.breaking = true;
+      for (const p of job.active.values()) p.stop ??= { graceS: 0, since: this.clock.now };
+      for (const p of [...job.active.values()]) if (p.own && p.sent === null) this.gone(p, 'gang broken');
+    }
+    if (job.active.size === 0) job.breaking = false;
+  }
+
+  private checkCancelled(job: JobRun): void {
+    if (!job.cancelled || job.active.size > 0 || this.jobs.get(job.id) !== job) return;
+    this.jobs.delete(job.id);
+    for (const c of job.chunks) if (this.replica.stamp(chunkKey(job.id, c.number)) > 0) this.dropChunk(job.id, c.number);
+  }
+
+  private dropChunk(id: string, chunk: number): void {
+    const key = chunkKey(id, chunk);
+    this.committer.add({
+      rank: Rank.cleanup,
+      build: () => {
+        const stamp = this.replica.stamp(key);
+        return stamp === 0 || this.replica.jobs.get(id)?.state === 'open'
+          ? null
+          : { when: [{ key, stamp }], apply: [{ key, data: undefined }] };
+      },
+      ok: () => undefined,
+      conflict: () => this.dropChunk(id, chunk),
+    });
+  }
+
+  // ---- durable changes ----
+
+  private queueChunk(job: JobRun, chunk: Chunk): void {
+    if (chunk.queued) return;
+    chunk.queued = true;
+    let building = 0;
+    this.committer.add({
+      rank: Rank.task,
+      build: () => {
+        const grant = this.replica.shards.get(job.shard);
+        if (this.jobs.get(job.id) !== job || !grant || !this.owned.has(job.shard) || job.finishing) {
+          chunk.queued = false;
+          return null;
+        }
+        if (this.replica.epoch < chunk.blockedUntil) {
+          // Tried again when the view has caught up.
+          chunk.queued = false;
+          this.blocked.push({ job, chunk });
+          return null;
+        }
+        building = chunk.version;
+        const placed: Placed[] = [];
+        for (const p of job.active.values()) if (p.chunk === chunk) placed.push(p);
+        return {
+          when: [
+            { key: shardKey(job.shard), stamp: grant.stamp },
+            { key: jobKey(job.id), stamp: job.stamp },
+            { key: chunkKey(job.id, chunk.number), stamp: chunk.stamp },
+          ],
+          apply: [
+            {
+              key: chunkKey(job.id, chunk.number),
+              data: chunkData({ last: chunk.last, done: chunk.done, placed }),
+            },
+          ],
+        };
+      },
+      ok: (epoch) => {
+        chunk.queued = false;
+        chunk.stamp = epoch;
+        chunk.durable = building;
+        if (chunk.version > building) this.queueChunk(job, chunk);
+      },
+      conflict: (failed, epoch) => {
+        chunk.queued = false;
+        this.log('info', 'task commit refused', { job: job.id, failed });
+        chunk.blockedUntil = epoch;
+        this.blocked.push({ job, chunk });
+      },
+    });
+  }
+
+  private blocked: { job: JobRun; chunk: Chunk }[] = [];
+
+  /** Chunks whose write conflicted: once the view has caught up, go on from what is durable. */
+  private unblock(): void {
+    if (this.blocked.length === 0) return;
+    const blocked = this.blocked;
+    this.blocked = [];
+    for (const b of blocked) {
+      if (this.jobs.get(b.job.id) !== b.job) continue;
+      if (this.replica.epoch < b.chunk.blockedUntil) {
+        this.blocked.push(b);
+        continue;
+      }
+      if (this.replica.stamp(chunkKey(b.job.id, b.chunk.number)) !== b.chunk.stamp) {
+        this.log('warn', 'chunk changed by another writer, reading it again', { job: b.job.id });
+        this.dropJob(b.job.id);
+        const record = this.replica.jobs.get(b.job.id);
+        if (record) this.takeJob(record);
+      } else this.queueChunk(b.job, b.chunk);
+    }
+  }
+
+  /** Every task is done: the job's end and the removal of its tasks' records in one transaction. */
+  private finish(job: JobRun): void {
+    if (job.finishing) return;
+    job.finishing = true;
+    this.committer.add({
+      rank: Rank.task,
+      build: () => {
+        const grant = this.replica.shards.get(job.shard);
+        if (this.jobs.get(job.id) !== job || !grant || !this.owned.has(job.shard) || job.cancelled) {
+          job.finishing = false;
+          return null;
+        }
+        const drops = job.chunks.filter((c) => c.stamp > 0).slice(0, this.settings.state.txn_ops - 1);
+        return {
+          when: [
+            { key: shardKey(job.shard), stamp: grant.stamp },
+            { key: jobKey(job.id), stamp: job.stamp },
+            ...drops.map((c) => ({ key: chunkKey(job.id, c.number), stamp: c.stamp })),
+          ],
+          apply: [
+            { key: jobKey(job.id), data: jobDoneData(job.at, job.spec.tasks) },
+            ...drops.map((c) => ({ key: chunkKey(job.id, c.number), data: undefined })),
+          ],
+        };
+      },
+      ok: () => {
+        for (const c of job.chunks) c.durable = c.version;
+        this.jobs.delete(job.id);
+        this.log('info', 'job done', { job: job.id });
+        for (const c of job.chunks)
+          if (this.replica.stamp(chunkKey(job.id, c.number)) > 0) this.dropChunk(job.id, c.number);
+      },
+      conflict: (_, epoch) => {
+        job.finishing = false;
+        this.refinish.push({ job, epoch });
+      },
+    });
+  }
+
+  private refinish: { job: JobRun; epoch: number }[] = [];
+
+  private retryFinish(): void {
+    if (this.refinish.length === 0) return;
+    const list = this.refinish;
+    this.refinish = [];
+    for (const f of list) {
+      if (this.jobs.get(f.job.id) !== f.job) continue;
+      if (this.replica.epoch < f.epoch) {
+        this.refinish.push(f);
+        continue;
+      }
+      this.dropJob(f.job.id);
+      const record = this.replica.jobs.get(f.job.id);
+      if (record) this.takeJob(record);
+    }
+  }
+
+  // ---- workers ----
+
+  /** Takes in a report of a machine of ours; returns the orders to answer with. */
+  checkin(m: MachineRun, report: Report, token: number): Order[] {
+    const now = this.clock.now;
+    m.endpoint = report.endpoint;
+    m.heardAt = now;
+    if (m.token !== token) {
+      m.token = token;
+      m.provenAt = 0;
+    }
+    // Under our token no earlier owner can renew the lease any more.
+    const proof = report.token === token;
+    const leaseEnd = now + this.settings.workers.lease_s * 1000;
+    m.leaseUntil = proof ? leaseEnd : Math.max(m.leaseUntil, leaseEnd);
+    // Guards against the late report: its list is as old as itself, and its answer will be dropped.
+    if (report.session < m.session || (report.session === m.session && report.seq <= m.seq)) return [];
+    m.session = report.session;
+    m.seq = report.seq;
+    if (proof) m.provenAt = now;
+    if (report.noticeS !== null && m.noticeAt === 0) this.onNotice(m, report.noticeS);
+    const orders: Order[] = [];
+    const listed = new Map<string, TaskReport>();
+    for (const t of report.tasks) listed.set(pieceName(t.job, t.index), t);
+    for (const [piece, p] of [...m.placements]) {
+      const t = listed.get(piece);
+      if (t?.attempt === p.attempt) this.observe(m, p, t);
+      else if (proof && (p.sent === null || later(report, p.sent))) this.absent(m, p);
+    }
+    for (const [piece, t] of listed) {
+      const p = m.placements.get(piece);
+      if (p?.attempt === t.attempt) {
+        if (p.stop && t.phase !== 'exited')
+          orders.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: p.stop.graceS });
+      } else if (t.phase === 'exited') {
+        const held = this.pendingForget.get(forgetKey(m.host, piece, t.attempt));
+        // Guards against losing a result: a task is forgotten only after its end is durable.
+        if (!held || held.chunk.durable >= held.version || this.jobs.get(held.job.id) !== held.job) {
+          if (!held || this.replica.jobs.get(t.job)?.state !== 'open' || held.chunk.durable >= held.version)
+            orders.push({ op: 'forget', job: t.job, index: t.index, attempt: t.attempt });
+          this.pendingForget.delete(forgetKey(m.host, piece, t.attempt));
+        }
+      } else if (proof) {
+        this.log('warn', 'stray task', { piece, attempt: t.attempt, host: m.host });
+        orders.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
+      }
+    }
+    if (proof && m.noticeAt === 0)
+      for (const [piece, p] of m.placements) {
+        if (orders.length >= ordersPerAnswer) break;
+        if (listed.get(piece)?.attempt === p.attempt || p.stop || !this.startable(p)) continue;
+        p.sent = [report.session, report.seq];
+        orders.push({ op: 'start', job: p.job.id, index: p.index, attempt: p.attempt });
+      }
+    return orders.slice(0, ordersPerAnswer);
+  }
+
+  /** Guards against starting what a crash could forget: durable first, and a gang's attempt as a whole. */
+  private startable(p: Placement): boolean {
+    if (p.job.cancelled || p.job.finishing) return false;
+    if (p.job.spec.shape !== 'gang') return p.chunk.durable >= p.version;
+    for (const q of p.job.active.values()) if (q.chunk.durable < q.version) return false;
+    return true;
+  }
+
+  private observe(m: MachineRun, p: Placement, t: TaskReport): void {
+    const now = this.clock.now;
+    if (t.phase !== 'exited') {
+      p.phase = t.phase;
+      if (t.phase !== 'fetching') m.images.add(p.job.spec.image);
+      if (t.phase === 'running' && p.ranAt === 0) p.ranAt = now;
+      return;
+    }
+    const { job } = p;
+    if (t.why === 'done') {
+      m.errors = 0;
+      m.errorJobs.clear();
+      this.gone(p, 'done', 'done');
+    } else {
+      this.log('debug', 'task ended', { piece: pieceName(job.id, p.index), host: m.host, why: t.why });
+      if (t.why === 'error') this.onError(m, job);
+      if (t.why === 'full' || t.why === 'busy') m.avoidUntil = now + this.settings.workers.report_s * 2000;
+      if (t.why === 'unknown') job.notBefore = now + this.settings.workers.report_s * 1000;
+      this.gone(p, t.why ?? 'exited');
+    }
+    this.pendingForget.set(forgetKey(m.host, pieceName(job.id, p.index), p.attempt), {
+      chunk: p.chunk,
+      version: p.chunk.version,
+      job,
+    });
+  }
+
+  /** A newer report under our token does not list the attempt: it is not on the machine. */
+  private absent(m: MachineRun, p: Placement): void {
+    if (p.stop || p.job.cancelled) return this.gone(p, 'absent');
+    if (p.phase === 'placed') {
+      // Never seen there; its start is sent (again) with this answer. A machine under notice gets none.
+      if (m.noticeAt > 0 || m.condemned) this.gone(p, 'machine not to be used');
+      return;
+    }
+    this.gone(p, 'vanished');
+  }
+
+  private onNotice(m: MachineRun, noticeS: number): void {
+    m.noticeAt = this.clock.now + noticeS * 1000;
+    this.hazard.taken();
+    this.log('info', 'notice', { host: m.host, noticeS });
+    for (const p of m.placements.values()) {
+      const { spec } = p.job;
+      // What can save, saves; what cannot may still finish in time.
+      if (spec.checkpointS > 0 && spec.shape !== 'gang' && spec.saveS <= noticeS)
+        p.stop ??= { graceS: spec.saveS, since: this.clock.now };
+      if (spec.shape === 'gang') this.stopGang(p.job);
+    }
+  }
+
+  /** Stops a whole gang in order: every task gets time to save, all at about the same time. */
+  stopGang(job: JobRun): void {
+    job.breaking = true;
+    for (const p of job.active.values()) p.stop ??= { graceS: job.spec.saveS, since: this.clock.now };
+  }
+
+  private onError(m: MachineRun, job: JobRun): void {
+    const now = this.clock.now;
+    m.errors++;
+    m.errorJobs.add(job.id);
+    job.errorCount++;
+    job.errors.add(m.host);
+    // A job that fails wherever it goes is tried ever more rarely; a machine that fails others' work is not used.
+    if (job.errors.size >= 2 && job.successes === 0)
+      job.notBefore =
+        now + Math.min(60, 2 ** Math.min(job.errorCount, 6)) * this.settings.workers.report_s * 1000;
+    const guilty = [...m.errorJobs].filter((id) => {
+      const j = this.jobs.get(id);
+      return !j || j.errors.size < 3 || j.successes > 0;
+    });
+    if (guilty.length >= 2 || (guilty.length >= 1 && m.errors >= 2)) {
+      if (!m.condemned) this.log('warn', 'machine fails its tasks', { host: m.host, errors: m.errors });
+      m.condemned = true;
+      for (const p of m.placements.values()) if (p.job.spec.shape !== 'gang') p.stop ??= { graceS: p.job.spec.saveS, since: now };
+    } else m.avoidUntil = now + this.settings.workers.report_s * 4000;
+  }
+
+  // ---- time ----
+
+  tick(): void {
+    const now = this.clock.now;
+    this.unblock();
+    this.retryFinish();
+    if (this.lastSweep < 0 || now - this.lastSweep >= 1000) {
+      if (this.lastSweep >= 0) this.sweep((now - this.lastSweep) / 1000);
+      this.lastSweep = now;
+    }
+    if (now - this.lastRound >= this.operators['round-s'] * 1000) {
+      this.lastRound = now;
+      placeRound(this);
+    }
+  }
+
+  /** Machines that fell silent, never came up, stand idle or are given up. */
+  private sweep(elapsedS: number): void {
+    const now = this.clock.now;
+    const w = this.settings.workers;
+    let spot = 0;
+    for (const m of this.machines.values()) {
+      if (m.record.spot && m.heardAt > 0) spot++;
+      const silentS = (now - m.heardAt) / 1000;
+      // Steady clocks differ by up to 0.05%; the margin also covers a lease check that comes late.
+      if (m.placements.size > 0 && now > m.leaseUntil + w.lease_s * 1.5 + 1000) {
+        this.log('info', 'lease of a silent machine ended', { host: m.host, silentS });
+        for (const p of [...m.placements.values()]) this.gone(p, 'lease ended');
+      }
+      if (m.record.standing !== 'use' || m.releasing) continue;
+      const ageS = (this.clock.wall - m.record.since) / 1000;
+      if (m.heardAt > 0 ? silentS > w.lease_s + 2 * w.report_s : ageS > m.type.bootS * 4 + w.lease_s) {
+        if (m.record.spot && m.heardAt > 0 && m.noticeAt === 0) this.hazard.taken();
+        this.release(m, 'dead', m.heardAt > 0 ? 'silent' : 'never came up');
+      } else if (m.condemned && m.placements.size === 0) this.release(m, 'dead', 'failing');
+      else if (m.noticeAt > 0 && m.placements.size === 0) this.release(m, 'dead', 'notice');
+      else if (
+        m.placements.size === 0 &&
+        m.provenAt > 0 &&
+        now - m.idleSince > this.operators['idle-boots'] * m.type.bootS * 1000
+      )
+        this.release(m, 'free', 'idle');
+    }
+    this.hazard.observe(spot, elapsedS);
+  }
+
+  /** Gives a machine back to the leader: idle ones to be used elsewhere, dead ones to be returned. */
+  private release(m: MachineRun, standing: 'free' | 'dead', why: string): void {
+    m.releasing = true;
+    this.log('info', 'releasing machine', { host: m.host, standing, why });
+    const key = machineKey(m.host);
+    this.committer.add({
+      rank: Rank.fleet,
+      build: () => {
+        const grant = this.replica.shards.get(m.record.shard);
+        const usable = this.machines.get(m.host) === m && grant && this.owned.has(m.record.shard);
+        if (!usable || (standing === 'free' && m.placements.size > 0)) {
+          m.releasing = false;
+          return null;
+        }
+        const shard = standing === 'free' ? -1 : m.record.shard;
+        return {
+          when: [
+            { key, stamp: m.record.stamp },
+            { key: shardKey(m.record.shard), stamp: grant.stamp },
+          ],
+          apply: [{ key, data: machineData({ ...m.record, shard, standing }) }],
+        };
+      },
+      ok: () => undefined,
+      conflict: () => {
+        m.releasing = false;
+      },
+    });
+  }
+}
+
+const later = (r: Report, [session, seq]: [number, number]): boolean =>
+  r.session > session || (r.session === session && r.seq > seq);
+
+const forgetKey = (host: string, piece: string, attempt: number): string => `${host} ${piece} ${attempt}`;
+
+/** Stands in for the description of a cancelled job: only what its last tasks take matters now. */
+const remains = (record: JobRecord, use: JobUse): JobSpec => ({
+  id: record.id,
+  class: '',
+  shape: 'array',
+  urgency: 'low',
+  tasks: record.tasks,
+  image: '',
+  imageGb: 0,
+  types: null,
+  zone: null,
+  oneZone: false,
+  apart: false,
+  spot: false,
+  estimateS: 0,
+  checkpointS: 0,
+  saveS: 0,
+  deadlineS: null,
+  ...use,
+});
--- /dev/null
+++ b/src/core/effects.ts
@@ -0,0 +1,60 @@
+import type { JobSpec } from '../model/job.js';
+import type { MachineType } from '../model/machine.js';
+import type { Order, Report } from '../model/report.js';
+import type { ListedMachine, RentRequest } from '../wire/cloud.js';
+import type { Change, Txn } from '../wire/store.js';
+
+/** What the adapters bring to the core. `rid` names a request that waits for its answer. */
+export type Command =
+  | { c: 'tick' }
+  | { c: 'submit'; rid: number; spec: JobSpec }
+  | { c: 'query'; rid: number; id: string }
+  | { c: 'withdraw'; rid: number; id: string }
+  | { c: 'checkin'; rid: number; report: Report }
+  | { c: 'ordered'; host: string; report: Report | null }
+  | { c: 'loaded'; items: Change[]; epoch: number }
+  | { c: 'changes'; changes: Change[]; epoch: number }
+  | { c: 'committed'; outcome: CommitOutcome }
+  | { c: 'epoch'; sentAt: number; epoch: number | null }
+  | { c: 'leased'; hold: number | null }
+  | { c: 'renewed'; hold: number; outcome: 'ok' | 'gone' | 'failed' }
+  | { c: 'types'; types: MachineType[] | null }
+  | { c: 'rented'; request: RentRequest; outcome: { hosts: string[] } | 'none' | 'refused' | 'unknown' }
+  | { c: 'deleted'; hosts: string[]; ok: boolean }
+  | { c: 'listed'; machines: ListedMachine[] | null; askedAt: number };
+
+export type CommitOutcome =
+  | { r: 'ok'; epoch: number }
+  | { r: 'conflict'; failed: string[]; epoch: number }
+  /** Certainly not executed. */
+  | { r: 'refused' }
+  /** A state lease named in it is no more. Certainly not executed. */
+  | { r: 'unleased' }
+  | { r: 'malformed' }
+  /** No answer: it may have been executed, or may be executed later. */
+  | { r: 'unknown' };
+
+/** What the core wants done. */
+export type Effect =
+  | { e: 'answer'; rid: number; status: number; body: object; retryAfterS?: number }
+  | { e: 'commit'; txn: Txn }
+  | { e: 'epoch' }
+  | { e: 'catch-up'; epoch: number }
+  | { e: 'lease'; ttlMs: number }
+  | { e: 'renew'; hold: number }
+  | { e: 'unlease'; hold: number }
+  | { e: 'types' }
+  | { e: 'rent'; request: RentRequest }
+  | { e: 'delete'; hosts: string[] }
+  | { e: 'list' }
+  | { e: 'order'; host: string; endpoint: string; token: number; session: number; orders: Order[] };
+
+export interface Clock {
+  /** Steady, ms. */
+  now: number;
+  /** Time of day, ms. */
+  wall: number;
+}
+
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
+export type Log = (level: LogLevel, message: string, fields?: Record<string, unknown>) => void;
--- /dev/null
+++ b/src/core/keys.ts
@@ -0,0 +1,30 @@
+/** Where things are kept in the state service. Everything is under one prefix, so one watch sees it all. */
+export const prefix = 'dp/';
+export const leadKey = 'dp/lead';
+export const typesKey = 'dp/types';
+export const teamsKey = 'dp/teams';
+export const nodeKey = (member: string): string => `dp/node/${member}`;
+export const shardKey = (shard: number): string => `dp/shard/${shard}`;
+export const machineKey = (host: string): string => `dp/m/${host}`;
+export const jobKey = (id: string): string => `dp/j/${id}`;
+export const chunkKey = (id: string, chunk: number): string => `dp/t/${id}/${chunk}`;
+
+export type KeyRef =
+  | { kind: 'lead' | 'types' | 'teams' }
+  | { kind: 'node'; member: string }
+  | { kind: 'shard'; shard: number }
+  | { kind: 'machine'; host: string }
+  | { kind: 'job'; id: string }
+  | { kind: 'chunk'; id: string; chunk: number };
+
+export function readKey(key: string): KeyRef | null {
+  const [root, kind, a, b] = key.split('/');
+  if (root !== 'dp') return null;
+  if (a === undefined) return kind === 'lead' || kind === 'types' || kind === 'teams' ? { kind } : null;
+  if (kind === 'node') return { kind, member: a };
+  if (kind === 'shard') return { kind, shard: Number(a) };
+  if (kind === 'm') return { kind: 'machine', host: a };
+  if (kind === 'j') return { kind: 'job', id: a };
+  if (kind === 't' && b !== undefined) return { kind: 'chunk', id: a, chunk: Number(b) };
+  return null;
+}
--- /dev/null
+++ b/src/core/membership.ts
@@ -0,0 +1,148 @@
+import type { Operators } from '../config/operators.js';
+import type { Settings } from '../config/settings.js';
+import { Rank, type Committer } from './committer.js';
+import type { Effect, Log } from './effects.js';
+import { leadKey, nodeKey, shardKey, teamsKey } from './keys.js';
+import { nodeData, shardData, teamsData } from './records.js';
+import type { Replica } from './replica.js';
+
+/**
+ * Presence, leadership and grants. Presence and leadership are keys attached to this process's state lease.
+ * The leader writes the table of teams and grants shards to live processes; a grant is fenced by its key's
+ * stamp, so none of the clocks here matters for safety.
+ */
+export class Membership {
+  hold: number | null = null;
+  private asking = false;
+  private askAt = 0;
+  private renewAt = 0;
+  private renewing = false;
+  private cleared = false;
+  private readonly busy = new Set<string>();
+  private readonly seen = new Map<string, { run: string; at: number }>();
+  readonly ttlMs: number;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly operators: Operators,
+    private readonly run: string,
+    private readonly replica: Replica,
+    private readonly committer: Committer,
+    private readonly log: Log,
+  ) {
+    this.ttlMs = Math.round(settings.workers.lease_s * 1000 * operators['node-lease-ratio']);
+  }
+
+  get leading(): boolean {
+    return this.replica.lead?.member === this.settings.member && this.replica.lead.run === this.run;
+  }
+
+  tick(now: number, out: Effect[]): void {
+    if (this.replica.epoch < 0) return;
+    const mine = this.replica.nodes.get(this.settings.member);
+    if (!this.cleared) {
+      this.cleared = true;
+      // A presence from an earlier run of this very member: that process is over, so its lease may end now.
+      if (mine && mine.run !== this.run) out.push({ e: 'unlease', hold: mine.hold });
+    }
+    if (this.hold === null) {
+      if (!this.asking && now >= this.askAt) {
+        this.asking = true;
+        out.push({ e: 'lease', ttlMs: this.ttlMs });
+      }
+      return;
+    }
+    if (!this.renewing && now >= this.renewAt) {
+      this.renewing = true;
+      out.push({ e: 'renew', hold: this.hold });
+    }
+    if (!mine || mine.run !== this.run || mine.hold !== this.hold)
+      this.put(nodeKey(this.settings.member), nodeData(this.run, this.hold), this.hold);
+    else if (this.replica.lead === null)
+      this.put(leadKey, { member: this.settings.member, run: this.run }, this.hold);
+    if (this.leading) this.lead(now);
+  }
+
+  leased(hold: number | null, now: number): void {
+    this.asking = false;
+    this.hold = hold;
+    this.renewAt = now + this.ttlMs / 3;
+    if (hold === null) this.askAt = now + this.ttlMs / 12;
+  }
+
+  renewed(hold: number, outcome: 'ok' | 'gone' | 'failed', now: number): void {
+    this.renewing = false;
+    if (hold !== this.hold) return;
+    if (outcome === 'gone') {
+      this.log('warn', 'state lease ended', { hold });
+      this.hold = null;
+    }
+    this.renewAt = now + (outcome === 'ok' ? this.ttlMs / 3 : this.ttlMs / 12);
+  }
+
+  /** The leader's upkeep of the team table and the grants. */
+  private lead(now: number): void {
+    const shards = this.operators.shards > 0 ? this.operators.shards : 1 + this.settings.peers.length;
+    const teams = this.settings.teams.map((t) => t.name);
+    const known = new Set(this.replica.teams.flat());
+    if (this.replica.teamsStamp === 0 || teams.some((t) => !known.has(t))) {
+      // A team that has a home keeps it: its cap is counted there.
+      const table = this.replica.teams.map((list) => [...list]);
+      while (table.length < Math.min(shards, teams.length)) table.push([]);
+      for (const team of teams)
+        if (!known.has(team)) table.reduce((a, b) => (b.length < a.length ? b : a)).push(team);
+      this.put(teamsKey, teamsData(table));
+      return;
+    }
+    const alive = [...this.replica.nodes.values()].sort((a, b) => (a.member < b.member ? -1 : 1));
+    for (const node of alive)
+      if (this.seen.get(node.member)?.run !== node.run) this.seen.set(node.member, { run: node.run, at: now });
+    if (alive.length === 0) return;
+    const load = new Map(alive.map((n) => [n.member, 0]));
+    const loose: number[] = [];
+    this.replica.teams.forEach((_, shard) => {
+      const grant = this.replica.shards.get(shard);
+      if (grant && this.replica.isAlive(grant.owner, grant.run))
+        load.set(grant.owner, (load.get(grant.owner) ?? 0) + 1);
+      else loose.push(shard);
+    });
+    // A settled node without a shard gets one from a node that has several.
+    if (loose.length === 0) {
+      const idle = alive.find(
+        (n) => load.get(n.member) === 0 && now - (this.seen.get(n.member)?.at ?? now) > 2 * this.ttlMs,
+      );
+      const laden = alive.find((n) => (load.get(n.member) ?? 0) > 1);
+      if (idle && laden) {
+        const shard = [...this.replica.shards].find(([, g]) => g.owner === laden.member)?.[0];
+        if (shard !== undefined) this.put(shardKey(shard), shardData(idle.member, idle.run));
+      }
+    }
+    for (const shard of loose) {
+      const home = alive[shard % alive.length];
+      const to = alive.reduce((a, b) => (load.get(b.member)! < load.get(a.member)! ? b : a), home);
+      load.set(to.member, load.get(to.member)! + 1);
+      this.log('info', 'granting shard', { shard, to: to.member });
+      this.put(shardKey(shard), shardData(to.member, to.run));
+    }
+  }
+
+  private put(key: string, data: Record<string, unknown>, hold?: number): void {
+    if (this.busy.has(key)) return;
+    this.busy.add(key);
+    const leadStamp = this.leading && hold === undefined ? this.replica.lead!.stamp : null;
+    this.committer.add({
+      rank: Rank.membership,
+      build: () => {
+        if (hold !== undefined && hold !== this.hold) {
+          this.busy.delete(key);
+          return null;
+        }
+        const when = [{ key, stamp: this.replica.stamp(key) }];
+        if (leadStamp !== null) when.push({ key: leadKey, stamp: leadStamp });
+        return { when, apply: [{ key, data, hold }] };
+      },
+      ok: () => this.busy.delete(key),
+      conflict: () => this.busy.delete(key),
+    });
+  }
+}
--- /dev/null
+++ b/src/core/placement.ts
@@ -0,0 +1,192 @@
+import { isPremium, urgencyRank, type JobSpec } from '../model/job.js';
+import { fits, hourly, timesFits, type Fits, type MachineType } from '../model/machine.js';
+import { typeAllowed } from '../policy/admission.js';
+import { mayMove, moveBudget, spotAllowed, zoneOpen } from '../policy/guardrails.js';
+import { moveUrgency, order, score, type Candidate, type Weights } from '../policy/helios.js';
+import type { Dispatcher, JobRun, MachineRun } from './dispatcher.js';
+import type { Operators } from '../config/operators.js';
+
+export const weights = (o: Operators): Weights => ({ hazard: o['hazard-weight'], anchor: o['anchor-weight'] });
+
+/** The cheapest on-demand price per CPU-hour among the types that a job's task fits. */
+export function anchorPrice(spec: JobSpec, types: MachineType[], available: (type: MachineType) => boolean): number {
+  let best = Infinity;
+  for (const t of types) if (typeAllowed(spec, t) && available(t)) best = Math.min(best, t.price / t.cpus);
+  return best;
+}
+
+export function candidate(
+  type: MachineType,
+  spot: boolean,
+  hazard: number,
+  fresh: boolean,
+  freeCpus: number,
+  delayS: number,
+): Candidate {
+  return {
+    price: hourly(type, spot) / Math.max(type.cpus, 1),
+    spot,
+    hazard: spot ? hazard : 0,
+    fresh,
+    freeCpus,
+    delayMin: delayS / 60,
+  };
+}
+
+export const fetchS = (spec: JobSpec, type: MachineType): number =>
+  type.fetchGbPerS > 0 ? spec.imageGb / type.fetchGbPerS : 0;
+
+/** Placement order: urgency, then HELIOS's order, then the older job. */
+export function byOrder(a: { spec: JobSpec; at: number }, b: { spec: JobSpec; at: number }): number {
+  return (
+    urgencyRank[b.spec.urgency] - urgencyRank[a.spec.urgency] ||
+    order({ premium: isPremium(b.spec), cpus: b.spec.cpus }) -
+      order({ premium: isPremium(a.spec), cpus: a.spec.cpus }) ||
+    a.at - b.at
+  );
+}
+
+/** One placement round over all shards of this node. */
+export function placeRound(d: Dispatcher): void {
+  const now = d.clock.now;
+  const waiting = [...d.jobs.values()]
+    .filter((j) => !j.cancelled && !j.finishing && !j.breaking && j.notBefore <= now && d.waitingCount(j) > 0)
+    .sort(byOrder);
+  // Machines kept for a gang that found no room: nothing of lower order goes there.
+  const reserved = new Set<string>();
+  for (const job of waiting) {
+    const machines = eligible(d, job).filter((m) => !reserved.has(m.host));
+    if (job.spec.shape === 'gang') {
+      if (!placeGang(d, job, machines)) reserve(d, job, machines, reserved);
+    } else placeEach(d, job, machines);
+  }
+  moveOff(d);
+}
+
+/** Machines of the job's shard that may take its tasks, best first. */
+function eligible(d: Dispatcher, job: JobRun): MachineRun[] {
+  const { spec } = job;
+  const now = d.clock.now;
+  const stale = d.settings.workers.report_s * 2500;
+  const anchor = anchorPrice(spec, d.replica.types, () => true);
+  const hazard = d.hazard.perStep(d.operators['hazard-step-s']);
+  const w = weights(d.operators);
+  const work = { premium: isPremium(spec), cpus: spec.cpus };
+  const scored: { m: MachineRun; s: number }[] = [];
+  for (const m of d.machines.values()) {
+    if (m.record.shard !== job.shard || m.record.standing !== 'use' || m.condemned || m.releasing) continue;
+    if (m.provenAt === 0 || now - m.heardAt > stale || m.noticeAt > 0 || m.avoidUntil > now) continue;
+    if (job.errors.has(m.host) || !typeAllowed(spec, m.type)) continue;
+    if (spec.zone !== null && spec.zone !== m.record.zone) continue;
+    if (m.record.spot && !spotAllowed(spec)) continue;
+    const delayS = m.images.has(spec.image) ? 0 : fetchS(spec, m.type);
+    const room = roomOf(d, m);
+    const c = candidate(m.type, m.record.spot, hazard, m.placements.size === 0, room.cpus, delayS);
+    scored.push({ m, s: score(work, c, anchor, w) });
+  }
+  return scored.sort((a, b) => b.s - a.s).map((x) => x.m);
+}
+
+export const roomOf = (d: Dispatcher, m: MachineRun): Fits => ({
+  cpus: m.type.cpus * (1 - d.operators.headroom) - m.used.cpus,
+  gpus: m.type.gpus - m.used.gpus,
+  memGb: m.type.memGb - m.used.memGb,
+});
+
+function placeEach(d: Dispatcher, job: JobRun, machines: MachineRun[]): void {
+  const { spec } = job;
+  let left = Math.min(d.waitingCount(job), timesFits(spec, d.teamRoom(spec.team)));
+  // A job that only ever failed is tried one task at a time.
+  if (job.errors.size >= 2 && job.successes === 0) left = Math.min(left, job.active.size === 0 ? 1 : 0);
+  const at: { index: number; host: string }[] = [];
+  const taken = new Map(job.zones);
+  for (const m of machines) {
+    let n = Math.min(left - at.length, timesFits(spec, roomOf(d, m)));
+    for (; n > 0 && zoneOpen(spec, m.record.zone, taken); n--) {
+      const index = d.nextWaiting(job);
+      if (index < 0) break;
+      at.push({ index, host: m.host });
+      taken.set(m.record.zone, (taken.get(m.record.zone) ?? 0) + 1);
+    }
+    if (at.length >= left) break;
+  }
+  if (at.length > 0) d.place(job, at);
+}
+
+/** A gang is placed whole in one round or not at all. */
+function placeGang(d: Dispatcher, job: JobRun, machines: MachineRun[]): boolean {
+  const { spec } = job;
+  const need = d.waitingCount(job);
+  // Tasks of an earlier attempt hold their machines and zones until they are proven gone.
+  if (job.active.size > 0) return true;
+  if (timesFits(spec, d.teamRoom(spec.team)) < need) return true;
+  const zones = spec.oneZone ? [...new Set(machines.map((m) => m.record.zone))] : [null];
+  for (const zone of zones) {
+    const hosts: string[] = [];
+    const taken = new Map<string, number>();
+    for (const m of machines) {
+      if (zone !== null && m.record.zone !== zone) continue;
+      const room = timesFits(spec, roomOf(d, m));
+      for (let i = 0; i < room && hosts.length < need && zoneOpen(spec, m.record.zone, taken); i++) {
+        hosts.push(m.host);
+        taken.set(m.record.zone, (taken.get(m.record.zone) ?? 0) + 1);
+      }
+      if (hosts.length >= need) break;
+    }
+    if (hosts.length < need) continue;
+    const at: { index: number; host: string }[] = [];
+    for (const host of hosts) {
+      const index = d.nextWaiting(job);
+      if (index >= 0) at.push({ index, host });
+    }
+    d.place(job, at, d.nextGangAttempt(job));
+    return true;
+  }
+  return false;
+}
+
+/** Keeps for a gang the machines that will have room soonest, so that small tasks do not starve it. */
+function reserve(d: Dispatcher, job: JobRun, machines: MachineRun[], reserved: Set<string>): void {
+  const { spec } = job;
+  let need = d.waitingCount(job);
+  const busy = machines
+    .filter((m) => fits(spec, m.type))
+    .sort((a, b) => a.used.cpus / a.type.cpus - b.used.cpus / b.type.cpus);
+  for (const m of busy) {
+    if (need <= 0) break;
+    need -= timesFits(spec, m.type);
+    reserved.add(m.host);
+  }
+}
+
+/**
+ * Moves tasks off spot machines that cost more than on-demand ones, hazard included. Guardrails: a budget
+ * per window, residency, only tasks that save, and only when there is a place to go.
+ */
+function moveOff(d: Dispatcher): void {
+  const now = d.clock.now;
+  const w = weights(d.operators);
+  const hazard = d.hazard.perStep(d.operators['hazard-step-s']);
+  if (now - d.movedAt < d.operators['move-window-s'] * 1000) return;
+  let tasks = 0;
+  for (const m of d.machines.values()) tasks += m.placements.size;
+  let budget = moveBudget(d.operators['move-share'], tasks);
+  for (const m of d.machines.values()) {
+    if (budget <= 0) break;
+    if (!m.record.spot || m.placements.size === 0) continue;
+    const c = candidate(m.type, true, hazard, false, 0, 0);
+    for (const p of m.placements.values()) {
+      if (budget <= 0) break;
+      const { spec } = p.job;
+      if (p.phase !== 'running' || p.stop || spec.checkpointS <= 0 || isPremium(spec)) continue;
+      if (!mayMove((now - p.ranAt) / 1000, d.operators['residency-s'])) continue;
+      if (moveUrgency(c, anchorPrice(spec, d.replica.types, () => true), w) <= 0) continue;
+      const target = eligible(d, p.job).some((t) => !t.record.spot && fits(spec, roomOf(d, t)));
+      if (!target) continue;
+      p.stop = { graceS: spec.saveS, since: now };
+      budget--;
+      d.movedAt = now;
+      d.log('info', 'moving off spot', { job: p.job.id, index: p.index, host: m.host });
+    }
+  }
+}
--- /dev/null
+++ b/src/core/records.ts
@@ -0,0 +1,144 @@
+import type { JobSpec, JobState } from '../model/job.js';
+import type { MachineRecord, MachineType } from '../model/machine.js';
+
+/**
+ * The durable records and their stored form. `w` in a stored value names the write that made it, so that
+ * a writer who got no answer can tell later whether its write took effect.
+ */
+export interface Stored {
+  w?: string;
+}
+
+export interface NodeRecord {
+  member: string;
+  /** Which start of the process this is. */
+  run: string;
+  hold: number;
+  stamp: number;
+}
+
+export interface ShardRecord {
+  owner: string;
+  run: string;
+  stamp: number;
+}
+
+export interface JobRecord {
+  id: string;
+  state: JobState;
+  /** null once the job is over: only the outcome is kept. */
+  spec: JobSpec | null;
+  /** Time of day of acceptance, ms. */
+  at: number;
+  tasks: number;
+  /** Of a cancelled job: what its tasks take while they are not proven gone. */
+  use: JobUse | null;
+  stamp: number;
+}
+
+export interface JobUse {
+  team: string;
+  cpus: number;
+  gpus: number;
+  memGb: number;
+}
+
+export interface Placed {
+  index: number;
+  attempt: number;
+  host: string;
+}
+
+/** The durable state of some of a job's tasks. */
+export interface ChunkRecord {
+  /** The highest attempt number ever used in this chunk. */
+  last: number;
+  done: Bits;
+  placed: Placed[];
+  stamp: number;
+}
+
+export class Bits {
+  constructor(private bytes: Uint8Array = new Uint8Array(0)) {}
+  static from(text: string): Bits {
+    return new Bits(new Uint8Array(Buffer.from(text, 'base64')));
+  }
+  has(i: number): boolean {
+    return ((this.bytes[i >> 3] ?? 0) & (1 << (i & 7))) !== 0;
+  }
+  add(i: number): void {
+    if (i >> 3 >= this.bytes.length) {
+      const wider = new Uint8Array((i >> 3) + 1);
+      wider.set(this.bytes);
+      this.bytes = wider;
+    }
+    this.bytes[i >> 3] |= 1 << (i & 7);
+  }
+  count(): number {
+    let n = 0;
+    for (let b of this.bytes) for (; b !== 0; b &= b - 1) n++;
+    return n;
+  }
+  copy(): Bits {
+    return new Bits(this.bytes.slice());
+  }
+  toString(): string {
+    return Buffer.from(this.bytes).toString('base64');
+  }
+}
+
+type Data = Record<string, unknown>;
+
+export const nodeData = (run: string, hold: number): Data => ({ run, hold });
+export const shardData = (owner: string, run: string): Data => ({ owner, run });
+
+export const jobData = (spec: JobSpec, at: number): Data => ({ s: 'open', at, spec });
+export const jobDoneData = (at: number, tasks: number): Data => ({ s: 'done', at, n: tasks });
+export const jobCancelledData = (at: number, spec: JobSpec): Data => ({
+  s: 'cancelled',
+  at,
+  n: spec.tasks,
+  u: { team: spec.team, cpus: spec.cpus, gpus: spec.gpus, memGb: spec.memGb },
+});
+
+export function readJob(id: string, data: unknown, stamp: number): JobRecord {
+  const d = data as { s: JobState; at: number; n?: number; spec?: JobSpec; u?: JobUse };
+  return { id, state: d.s, spec: d.spec ?? null, at: d.at, tasks: d.spec?.tasks ?? d.n ?? 0, use: d.u ?? null, stamp };
+}
+
+export const chunkData = (c: Omit<ChunkRecord, 'stamp'>): Data => ({
+  n: c.last,
+  d: c.done.toString(),
+  p: c.placed.map((p) => [p.index, p.attempt, p.host]),
+});
+
+export function readChunk(data: unknown, stamp: number): ChunkRecord {
+  const d = data as { n: number; d: string; p: [number, number, string][] };
+  return {
+    last: d.n,
+    done: Bits.from(d.d),
+    placed: d.p.map(([index, attempt, host]) => ({ index, attempt, host })),
+    stamp,
+  };
+}
+
+export const machineData = (m: MachineRecord): Data => ({
+  f: m.type,
+  y: m.zone,
+  l: m.spot,
+  s: m.shard,
+  st: m.standing,
+  at: m.since,
+});
+
+export function readMachine(host: string, data: unknown): MachineRecord {
+  const d = data as { f: string; y: string; l: boolean; s: number; st: MachineRecord['standing']; at: number };
+  return { host, type: d.f, zone: d.y, spot: d.l, shard: d.s, standing: d.st, since: d.at };
+}
+
+export const typesData = (types: MachineType[]): Data => ({ types });
+export const readTypes = (data: unknown): MachineType[] => (data as { types: MachineType[] }).types;
+
+/** Which teams are at home in which shard. */
+export const teamsData = (shards: string[][]): Data => ({ shards });
+export const readTeams = (data: unknown): string[][] => (data as { shards: string[][] }).shards;
--- /dev/null
+++ b/src/log.ts
@@ -0,0 +1,14 @@
+import { pino } from 'pino';
+import type { Log } from './core/effects.js';
+
+const levels = new Set(['trace', 'debug', 'info', 'warn', 'error', 'fatal', 'silent']);
+
+/** Logs to standard error, at the level of LOG_LEVEL. */
+export function makeLog(member: string): Log {
+  const wanted = process.env['LOG_LEVEL'] ?? 'info';
+  const logger = pino(
+    { level: levels.has(wanted) ? wanted : 'info', base: { member } },
+    pino.destination({ fd: 2, sync: true }),
+  );
+  return (level, message, fields) => logger[level](fields ?? {}, message);
+}
--- /dev/null
+++ b/src/model/job.ts
@@ -0,0 +1,47 @@
+export type Shape = 'array' | 'gang' | 'service';
+export type Urgency = 'production' | 'high' | 'normal' | 'low';
+
+/** What a user asked for; never changes after it was accepted. */
+export interface JobSpec {
+  id: string;
+  class: string;
+  team: string;
+  shape: Shape;
+  urgency: Urgency;
+  tasks: number;
+  cpus: number;
+  gpus: number;
+  memGb: number;
+  image: string;
+  imageGb: number;
+  /** Allowed machine types; null: any. */
+  types: string[] | null;
+  zone: string | null;
+  oneZone: boolean;
+  apart: boolean;
+  spot: boolean;
+  estimateS: number;
+  checkpointS: number;
+  saveS: number;
+  /** Measured from submission; null: no deadline. */
+  deadlineS: number | null;
+}
+
+export type JobState = 'open' | 'done' | 'cancelled';
+
+/** HELIOS's premium tier: services and gangs. */
+export const isPremium = (job: JobSpec): boolean => job.shape !== 'array';
+
+export const urgencyRank: Record<Urgency, number> = { production: 3, high: 2, normal: 1, low: 0 };
+
+export const pieceName = (job: string, index: number): string => `${job}/${index}`;
+
+export function splitPiece(piece: string): { job: string; index: number } | null {
+  const at = piece.lastIndexOf('/');
+  const index = Number(piece.slice(at + 1));
+  if (at <= 0 || !Number.isSafeInteger(index) || index < 0) return null;
+  return { job: piece.slice(0, at), index };
+}
+
+/** The most tasks of a job that `apart` lets into one zone. */
+export const zoneShare = (tasks: number): number => Math.ceil(tasks / 2);
--- /dev/null
+++ b/src/users/server.ts
@@ -0,0 +1,127 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Command } from '../core/effects.js';
+import { parseReport } from '../wire/worker.js';
+import { jobPath, parseSubmission, withdrawEnd } from '../wire/user.js';
+
+const mostBody = 64 * 1024;
+
+/** The HTTP side towards users, workers and health checks: requests become commands. */
+export class PublicServer {
+  private readonly pending = new Map<number, ServerResponse>();
+  private count = 0;
+  readonly server: Server;
+
+  constructor(
+    private readonly push: (c: Command) => void,
+    private readonly healthy: () => boolean,
+    maxConnections: number,
+  ) {
+    this.server = createServer({ keepAliveTimeout: 120_000, requestTimeout: 10_000, headersTimeout: 10_000 }, (req, res) =>
+      this.serve(req, res),
+    );
+    this.server.maxConnections = maxConnections;
+    this.server.on('clientError', (_, socket) => {
+      if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+      else socket.destroy();
+    });
+  }
+
+  answer(rid: number, status: number, body: object, retryAfterS?: number): void {
+    const res = this.pending.get(rid);
+    if (!res) return;
+    this.pending.delete(rid);
+    reply(res, status, body, retryAfterS);
+  }
+
+  private serve(req: IncomingMessage, res: ServerResponse): void {
+    const path = (req.url ?? '').split('?', 1)[0];
+    const method = req.method ?? '';
+    const part = path.split('/');
+    if (path === '/healthz') {
+      if (!allow(method, 'GET', res)) return;
+      return reply(res, this.healthy() ? 200 : 503, {});
+    }
+    if (path === jobPath) {
+      if (!allow(method, 'POST', res)) return;
+      return this.read(req, res, (body) => {
+        const spec = parseSubmission(body);
+        if (typeof spec === 'string') return reply(res, 400, { error: spec });
+        this.push({ c: 'submit', rid: this.keep(res), spec });
+      });
+    }
+    if (path === '/checkin') {
+      if (!allow(method, 'POST', res)) return;
+      return this.read(req, res, (body) => {
+        const report = parseReport(body);
+        if (typeof report === 'string') return reply(res, 400, { error: report });
+        this.push({ c: 'checkin', rid: this.keep(res), report });
+      });
+    }
+    if (`/${part[1]}` === jobPath && part.length === 3 && part[2] !== '') {
+      if (!allow(method, 'GET', res)) return;
+      return this.push({ c: 'query', rid: this.keep(res), id: part[2] });
+    }
+    if (`/${part[1]}` === jobPath && part.length === 4 && part[3] === withdrawEnd) {
+      if (!allow(method, 'POST', res)) return;
+      return this.read(req, res, null, () => this.push({ c: 'withdraw', rid: this.keep(res), id: part[2] }));
+    }
+    reply(res, 404, { error: 'not found' });
+  }
+
+  private keep(res: ServerResponse): number {
+    const rid = ++this.count;
+    this.pending.set(rid, res);
+    res.on('close', () => this.pending.delete(rid));
+    return rid;
+  }
+
+  /** Reads a body of bounded size; `use` gets it as JSON, `skip` ignores what it says. */
+  private read(req: IncomingMessage, res: ServerResponse, use: ((body: unknown) => void) | null, skip?: () => void): void {
+    const parts: Buffer[] = [];
+    let size = 0;
+    let refused = false;
+    req.on('data', (d: Buffer) => {
+      size += d.length;
+      if (refused) return;
+      if (size > mostBody) {
+        refused = true;
+        res.setHeader('Connection', 'close');
+        reply(res, 400, { error: 'body too large' });
+        return;
+      }
+      parts.push(d);
+    });
+    req.on('error', () => undefined);
+    req.on('end', () => {
+      if (refused) return;
+      if (!use) return skip!();
+      let body: unknown;
+      try {
+        body = JSON.parse(Buffer.concat(parts).toString('utf8'));
+      } catch {
+        return reply(res, 400, { error: 'not JSON' });
+      }
+      use(body);
+    });
+  }
+}
+
+function allow(method: string, wanted: string, res: ServerResponse): boolean {
+  if (method === wanted || (wanted === 'GET' && method === 'HEAD')) return true;
+  res.setHeader('Allow', wanted);
+  reply(res, 405, { error: `use ${wanted}` });
+  return false;
+}
+
+function reply(res: ServerResponse, status: number, body: object, retryAfterS?: number): void {
+  if (res.headersSent || res.destroyed) return;
+  const text = JSON.stringify(body);
+  const headers: Record<string, string | number> = {
+    'Content-Type': 'application/json',
+    'Content-Length': Buffer.byteLength(text),
+  };
+  const after = retryAfterS ?? (status === 503 || status === 429 ? 1 : undefined);
+  if (after !== undefined) headers['Retry-After'] = after;
+  res.writeHead(status, headers);
+  res.end(text);
+}
--- /dev/null
+++ b/src/wire/cloud.ts
@@ -0,0 +1,103 @@
+import * as v from 'valibot';
+import type { MachineType } from '../model/machine.js';
+
+const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
+
+const types = v.object({
+  flavours: v.array(
+    v.object({
+      name: v.string(),
+      cpus: amount,
+      cards: v.optional(v.nullable(amount), 0),
+      memGb: amount,
+      localGb: v.optional(v.nullable(amount), 0),
+      fetchGbPerS: v.optional(v.nullable(amount), 0),
+      price: amount,
+      marketPrice: v.optional(v.nullable(amount), null),
+      bootS: v.optional(v.nullable(amount), 0),
+      yards: v.array(v.string()),
+    }),
+  ),
+});
+
+export function parseTypes(body: unknown): MachineType[] | null {
+  const r = v.safeParse(types, body);
+  if (!r.success) return null;
+  return r.output.flavours.map((f) => ({
+    name: f.name,
+    cpus: f.cpus,
+    gpus: f.cards ?? 0,
+    memGb: f.memGb,
+    cacheGb: f.localGb ?? 0,
+    fetchGbPerS: f.fetchGbPerS ?? 0,
+    price: f.price,
+    spotPrice: f.marketPrice ?? f.price,
+    bootS: f.bootS ?? 0,
+    zones: f.yards,
+  }));
+}
+
+export interface ListedMachine {
+  host: string;
+  endpoint: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  status: 'booting' | 'running' | 'failed';
+  ageS: number;
+}
+
+const list = v.object({
+  hosts: v.array(
+    v.object({
+      nameId: v.string(),
+      endpoint: v.optional(v.nullable(v.string()), ''),
+      flavour: v.string(),
+      yard: v.string(),
+      loaners: v.boolean(),
+      status: v.string(),
+      ageS: v.optional(v.nullable(v.number()), 0),
+    }),
+  ),
+  hasNext: v.optional(v.nullable(v.boolean()), false),
+});
+
+export function parseList(body: unknown): { machines: ListedMachine[]; more: boolean } | null {
+  const r = v.safeParse(list, body);
+  if (!r.success) return null;
+  return {
+    machines: r.output.hosts.map((h) => ({
+      host: h.nameId,
+      endpoint: h.endpoint ?? '',
+      type: h.flavour,
+      zone: h.yard,
+      spot: h.loaners,
+      status: h.status === 'starting' ? 'booting' : h.status === 'failed' ? 'failed' : 'running',
+      ageS: h.ageS ?? 0,
+    })),
+    more: r.output.hasNext === true,
+  };
+}
+
+export interface RentRequest {
+  name: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  count: number;
+}
+
+export const rentOut = (r: RentRequest): object => ({
+  hire: r.name,
+  flavour: r.type,
+  yard: r.zone,
+  loaners: r.spot,
+  howMany: r.count,
+});
+export const deleteOut = (hosts: string[]): object => ({ hosts });
+
+const rented = v.object({ hosts: v.array(v.string()) });
+export function parseRented(body: unknown): string[] | null {
+  const r = v.safeParse(rented, body);
+  return r.success ? r.output.hosts : null;
+}
--- /dev/null
+++ b/src/wire/store.ts
@@ -0,0 +1,88 @@
+import * as v from 'valibot';
+
+/** A change of one key: `data` undefined means that the key is gone. */
+export interface Change {
+  key: string;
+  data: unknown;
+  stamp: number;
+}
+
+export interface Condition {
+  key: string;
+  stamp: number;
+}
+
+export interface Write {
+  key: string;
+  /** undefined: drop the key. */
+  data: Record<string, unknown> | undefined;
+  /** State lease the key is attached to. */
+  hold?: number;
+}
+
+export interface Txn {
+  when: Condition[];
+  apply: Write[];
+}
+
+const epoch = v.pipe(v.number(), v.integer(), v.minValue(0));
+const epochBody = v.object({ epoch });
+const failedBody = v.object({ failed: v.array(v.string()), epoch });
+const itemsBody = v.object({
+  items: v.array(v.object({ key: v.string(), data: v.unknown(), stamp: epoch })),
+  hasNext: v.optional(v.nullable(v.boolean()), false),
+  epoch,
+});
+const logBody = v.object({
+  epoch,
+  log: v.array(
+    v.object({
+      put: v.optional(v.nullable(v.string())),
+      drop: v.optional(v.nullable(v.string())),
+      data: v.optional(v.unknown()),
+      stamp: epoch,
+    }),
+  ),
+});
+const holdBody = v.object({ hold: v.number() });
+
+const read = <T extends v.GenericSchema>(schema: T, body: unknown): v.InferOutput<T> | null => {
+  const r = v.safeParse(schema, body);
+  return r.success ? r.output : null;
+};
+
+export const parseEpoch = (body: unknown): number | null => read(epochBody, body)?.epoch ?? null;
+export const parseFailed = (body: unknown) => read(failedBody, body);
+export const parseHold = (body: unknown): number | null => read(holdBody, body)?.hold ?? null;
+
+export function parseItems(body: unknown): { items: Change[]; more: boolean; epoch: number } | null {
+  const r = read(itemsBody, body);
+  return r && { items: r.items as Change[], more: r.hasNext === true, epoch: r.epoch };
+}
+
+export function parseLog(body: unknown): { changes: Change[]; epoch: number } | null {
+  const r = read(logBody, body);
+  if (!r) return null;
+  const changes = r.log.map((e) =>
+    typeof e.put === 'string'
+      ? { key: e.put, data: e.data, stamp: e.stamp }
+      : { key: e.drop ?? '', data: undefined, stamp: e.stamp },
+  );
+  return { changes, epoch: r.epoch };
+}
+
+export const txnOut = (txn: Txn): object => ({
+  when: txn.when.map((c) => ({ key: c.key, stamp: c.stamp })),
+  apply: txn.apply.map((w) =>
+    w.data === undefined
+      ? { drop: w.key }
+      : w.hold === undefined
+        ? { put: w.key, data: w.data }
+        : { put: w.key, data: w.data, hold: w.hold },
+  ),
+});
+export const leaseOut = (ttlMs: number): object => ({ ttlMs });
+export const scanPath = (prefix: string, from: string, limit: number): string =>
+  `/kv?starts=${prefix}${from === '' ? '' : `&from=${from}`}&limit=${limit}`;
+export const watchPath = (prefix: string, from: number, blockMs: number): string =>
+  `/changes?starts=${prefix}&from=${from}&blockMs=${blockMs}`;
--- /dev/null
+++ b/src/wire/user.ts
@@ -0,0 +1,73 @@
+import * as v from 'valibot';
+import type { JobSpec, JobState, Shape, Urgency } from '../model/job.js';
+
+const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
+const text = v.pipe(v.string(), v.minLength(1), v.maxLength(120), v.regex(/^\S+$/));
+const maybe = <T extends v.GenericSchema>(schema: T) => v.optional(v.nullable(schema), null);
+
+const shapes: Record<string, Shape> = { sweep: 'array', ensemble: 'gang', standing: 'service' };
+const urgencies: Record<string, Urgency> = { production: 'production', urgent: 'high', normal: 'normal', low: 'low' };
+
+const submission = v.object({
+  nameId: v.pipe(v.string(), v.regex(/^req-\d{1,20}$/)),
+  jobclass: text,
+  owner: text,
+  shape: v.picklist(['sweep', 'ensemble', 'standing']),
+  urgency: v.picklist(['production', 'urgent', 'normal', 'low']),
+  pieces: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(100_000)),
+  cpus: amount,
+  cards: amount,
+  memGb: amount,
+  bundle: text,
+  pullGb: amount,
+  flavours: maybe(v.pipe(v.array(text), v.maxLength(500))),
+  yard: maybe(text),
+  oneZone: v.boolean(),
+  apart: v.boolean(),
+  loaners: v.boolean(),
+  expectS: amount,
+  snapshotS: amount,
+  flushS: amount,
+  dueS: maybe(amount),
+});
+
+/** The job asked for, or what is wrong with the request. */
+export function parseSubmission(body: unknown): JobSpec | string {
+  const r = v.safeParse(submission, body);
+  if (!r.success) return `${v.getDotPath(r.issues[0]) ?? 'body'}: ${r.issues[0].message}`;
+  const b = r.output;
+  return {
+    id: b.nameId,
+    class: b.jobclass,
+    team: b.owner,
+    shape: shapes[b.shape],
+    urgency: urgencies[b.urgency],
+    tasks: b.pieces,
+    cpus: b.cpus,
+    gpus: b.cards,
+    memGb: b.memGb,
+    image: b.bundle,
+    imageGb: b.pullGb,
+    types: b.flavours,
+    zone: b.yard,
+    oneZone: b.oneZone,
+    apart: b.apart,
+    spot: b.loaners,
+    estimateS: b.expectS,
+    checkpointS: b.snapshotS,
+    saveS: b.flushS,
+    deadlineS: b.dueS,
+  };
+}
+
+export const jobPath = '/work';
+export const withdrawEnd = 'withdraw';
+
+/** Ids are kept in keys of the state service: anything else was never accepted. */
+export const isJobId = (id: string): boolean => /^req-\d{1,20}$/.test(id);
+
+export function jobStatus(state: JobState, running: number): 'pending' | 'running' | 'done' | 'aborted' {
+  if (state === 'done') return 'done';
+  if (state === 'cancelled') return 'aborted';
+  return running > 0 ? 'running' : 'pending';
+}
--- /dev/null
+++ b/src/wire/worker.ts
@@ -0,0 +1,90 @@
+import * as v from 'valibot';
+import { pieceName, splitPiece } from '../model/job.js';
+import type { ExitWhy, Order, Report, TaskPhase, TaskReport } from '../model/report.js';
+
+const phases: Record<string, TaskPhase> = {
+  pulling: 'fetching',
+  waiting: 'waiting',
+  running: 'running',
+  saving: 'saving',
+  exited: 'exited',
+};
+const whys: Record<string, ExitWhy> = {
+  done: 'done',
+  stopped: 'stopped',
+  peers: 'peers',
+  alone: 'alone',
+  error: 'error',
+  full: 'full',
+  in_use: 'busy',
+  unknown: 'unknown',
+};
+
+const counter = v.pipe(v.number(), v.integer(), v.minValue(0));
+const checkin = v.object({
+  host: v.pipe(v.string(), v.regex(/^n-\d{1,20}$/)),
+  endpoint: v.pipe(v.string(), v.regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/)),
+  flavour: v.string(),
+  yard: v.string(),
+  loaners: v.boolean(),
+  tenure: counter,
+  tick: counter,
+  baton: counter,
+  recallS: v.optional(v.nullable(v.number()), null),
+  pieces: v.array(
+    v.object({
+      piece: v.string(),
+      try: counter,
+      status: v.string(),
+      cause: v.optional(v.nullable(v.string()), null),
+      stored: v.optional(v.nullable(v.boolean()), null),
+    }),
+  ),
+});
+
+export function parseReport(body: unknown): Report | string {
+  const r = v.safeParse(checkin, body);
+  if (!r.success) return `${v.getDotPath(r.issues[0]) ?? 'body'}: ${r.issues[0].message}`;
+  const b = r.output;
+  const tasks: TaskReport[] = [];
+  for (const p of b.pieces) {
+    const id = splitPiece(p.piece);
+    // A state this version does not know still means that the task is on the machine.
+    if (id === null) return `pieces: ${p.piece}: not a task`;
+    tasks.push({
+      job: id.job,
+      index: id.index,
+      attempt: p.try,
+      phase: phases[p.status] ?? 'running',
+      why: p.cause === null ? null : (whys[p.cause] ?? 'error'),
+      saved: p.stored === true,
+    });
+  }
+  return {
+    host: b.host,
+    endpoint: b.endpoint,
+    type: b.flavour,
+    zone: b.yard,
+    spot: b.loaners,
+    session: b.tenure,
+    seq: b.tick,
+    token: b.baton,
+    noticeS: b.recallS,
+    tasks,
+  };
+}
+
+function orderOut(o: Order): object {
+  const piece = pieceName(o.job, o.index);
+  if (o.op === 'start') return { verb: 'run', piece, try: o.attempt };
+  if (o.op === 'stop') return { verb: 'kill', piece, try: o.attempt, windDownS: o.graceS };
+  return { verb: 'clear', piece, try: o.attempt };
+}
+
+export const answerOut = (token: number, orders: Order[]): object => ({ baton: token, orders: orders.map(orderOut) });
+export const ordersOut = (token: number, session: number, orders: Order[]): object => ({
+  baton: token,
+  tenure: session,
+  orders: orders.map(orderOut),
+});
+export const redirectOut = (owner: string | null): object => (owner === null ? {} : { boss: owner });
