--- a/src/cloud/cloud.ts
+++ b/src/cloud/cloud.ts
@@ -33,7 +33,8 @@
       const hosts = parseRented(r.body);
       return hosts === null ? 'unknown' : { hosts };
     }
-    if (r.status === 503) return (r.body as { error?: unknown } | null)?.error === 'no capacity' ? 'none' : 'refused';
+    if (r.status === 503)
+      return (r.body as { error?: unknown } | null)?.error === 'no capacity' ? 'none' : 'refused';
     return r.status === 429 || r.status === 400 ? 'refused' : 'unknown';
   }
 
@@ -44,7 +45,7 @@
 
   async list(): Promise<ListedMachine[] | null> {
     const all: ListedMachine[] = [];
-    for (let from = ''; ; ) {
+    for (let from = ''; ;) {
       const path = `/rentals?${from === '' ? '' : `from=${from}&`}limit=${pageItems}`;
       const r = await this.client.call('GET', path, null, timeoutMs);
       const page = r?.status === 200 ? parseList(r.body) : null;
--- a/src/config/operators.ts
+++ b/src/config/operators.ts
@@ -34,7 +34,7 @@
   /** An idle machine is kept for this many boot times. */
   'idle-boots': 1,
   /** Shards; 0: one per controller. */
-  shards: 0,
+  shards: 1,
 };
 
 export type Operators = Record<keyof typeof defaults, number>;
@@ -52,7 +52,9 @@
   try {
     forms = parse(text);
   } catch (e) {
-    throw new SettingsError(`${origin}: not a valid S-expression: ${String((e as Error).message).split('\n')[0]}`);
+    throw new SettingsError(
+      `${origin}: not a valid S-expression: ${String((e as Error).message).split('\n')[0]}`,
+    );
   }
   const out: Operators = { ...defaults };
   if (forms.length === 0) return out;
@@ -66,7 +68,8 @@
     const key = pair[0]?.content;
     if (pair.length !== 2 || typeof key !== 'string')
       throw new SettingsError(`${origin}: line ${line}: expected (NAME VALUE)`);
-    if (!Object.hasOwn(defaults, key)) throw new SettingsError(`${origin}: line ${line}: ${key}: unknown setting`);
+    if (!Object.hasOwn(defaults, key))
+      throw new SettingsError(`${origin}: line ${line}: ${key}: unknown setting`);
     const value = Number(pair[1].content);
     if (pair[1].type !== 'atom' || !Number.isFinite(value) || value < 0)
       throw new SettingsError(`${origin}: line ${line}: ${key}: must be a number of at least 0`);
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -50,7 +50,11 @@
     state: v.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: count }),
     cloud: v.object({ rps: positive, list_lag_s: amount }),
     quota: v.optional(
-      v.object({ cores: v.optional(positive, 1), mem_mb: v.optional(positive, 512), fd_limit: v.optional(count, 1024) }),
+      v.object({
+        cores: v.optional(positive, 1),
+        mem_mb: v.optional(positive, 512),
+        fd_limit: v.optional(count, 1024),
+      }),
       {},
     ),
   }),
--- a/src/core/committer.ts
+++ b/src/core/committer.ts
@@ -218,7 +218,9 @@
     const flight = this.flight!;
     this.flight = null;
     this.waitFor = null;
-    const applied = flight.txn.apply.some((w) => w.data !== undefined && this.replica.writer(w.key) === flight.mark);
+    const applied = flight.txn.apply.some(
+      (w) => w.data !== undefined && this.replica.writer(w.key) === flight.mark,
+    );
     const failing = new Set(failed);
     for (const b of flight.built) {
       const put = b.txn.apply.find((w) => w.data !== undefined);
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -83,7 +83,8 @@
     this.desk.pump(out);
     this.committer.pump(clock.now, out);
     // Also without requests the view's age must be known: workers are answered only from a fresh one.
-    if (clock.now - this.readAt > this.dispatcher.freshLimitMs / 8 && this.replica.epoch >= 0) out.push({ e: 'epoch' });
+    if (clock.now - this.readAt > this.dispatcher.freshLimitMs / 8 && this.replica.epoch >= 0)
+      out.push({ e: 'epoch' });
     if (out.some((o) => o.e === 'epoch')) this.readAt = clock.now;
     return out;
   }
@@ -99,8 +100,7 @@
       this.dispatcher.syncShards();
       // A grant may be visible before the view has reached it: looked at again until it is taken up.
       this.shardsChanged = [...this.replica.shards].some(
-        ([k, g]) =>
-          g.owner === this.settings.member && g.run === this.run && !this.dispatcher.owned.has(k),
+        ([k, g]) => g.owner === this.settings.member && g.run === this.run && !this.dispatcher.owned.has(k),
       );
     }
   }
@@ -178,7 +178,10 @@
     }
     const custodian = this.replica.custodian(m);
     if (!custodian || custodian.member !== member || custodian.run !== this.run) {
-      const there = custodian !== null && custodian.member !== member && this.replica.isAlive(custodian.member, custodian.run);
+      const there =
+        custodian !== null &&
+        custodian.member !== member &&
+        this.replica.isAlive(custodian.member, custodian.run);
       return answer(421, redirectOut(there ? custodian.member : null));
     }
     // Somebody came under a newer token: we are the stale owner and do not know it yet.
--- a/src/core/desk.ts
+++ b/src/core/desk.ts
@@ -66,7 +66,9 @@
         apply: [{ key: jobKey(spec.id), data: jobData(spec, this.clock.wall) }],
       }),
       ok: () =>
-        answer((r) => this.out.push({ e: 'answer', rid: r, status: 201, body: { nameId: spec.id, status: 'pending' } })),
+        answer((r) =>
+          this.out.push({ e: 'answer', rid: r, status: 201, body: { nameId: spec.id, status: 'pending' } }),
+        ),
       conflict: () => answer((r) => this.query(r, spec.id, this.out)),
       refused: () => {
         answer((r) => this.later(r, this.out));
--- a/src/core/dispatcher.ts
+++ b/src/core/dispatcher.ts
@@ -9,7 +9,15 @@
 import type { Clock, Log } from './effects.js';
 import { chunkKey, jobKey, machineKey, shardKey } from './keys.js';
 import { placeRound } from './placement.js';
-import { Bits, chunkData, jobDoneData, machineData, type JobRecord, type JobUse, type Placed } from './records.js';
+import {
+  Bits,
+  chunkData,
+  jobDoneData,
+  machineData,
+  type JobRecord,
+  type JobUse,
+  type Placed,
+} from './records.js';
 import type { Machine, Replica } from './replica.js';
 
 /** A task's present attempt. It exists from the decision to place until it is proven gone. */
@@ -92,6 +100,8 @@
   errorJobs: Set<string>;
   errors: number;
   images: Set<string>;
+  /** When this process took it up, ms. */
+  takenAt: number;
   condemned: boolean;
   releasing: boolean;
 }
@@ -181,6 +191,7 @@
       errorJobs: new Set(),
       errors: 0,
       images: new Set(),
+      takenAt: now,
       condemned: record.standing === 'dead',
       releasing: false,
     });
@@ -188,7 +199,8 @@
 
   private takeJob(record: JobRecord): void {
     if (this.jobs.has(record.id)) return;
-    const spec = record.spec ?? (record.use && this.replica.chunks.has(record.id) ? remains(record, record.use) : null);
+    const spec =
+      record.spec ?? (record.use && this.replica.chunks.has(record.id) ? remains(record, record.use) : null);
     if (spec === null) return;
     const shard = this.replica.shardOf(spec.team);
     if (this.owned.has(shard)) this.buildJob(record, spec, shard);
@@ -361,10 +373,15 @@
 
   /** The next task that waits for a place, or -1. */
   nextWaiting(job: JobRun): number {
-    if (job.retry.length > 0) return job.retry.pop()!;
+    // Guards against placing twice: after a takeover a task may be both among the retries and ahead of `fresh`.
+    const waits = (i: number) => !job.active.has(i) && !this.isDone(job, i);
+    while (job.retry.length > 0) {
+      const i = job.retry.pop()!;
+      if (waits(i)) return i;
+    }
     while (job.fresh < job.spec.tasks) {
       const i = job.fresh++;
-      if (!job.active.has(i) && !this.isDone(job, i)) return i;
+      if (waits(i)) return i;
     }
     return -1;
   }
@@ -387,7 +404,12 @@
     this.use(p, -1);
     chunk.version++;
     this.queueChunk(job, chunk);
-    this.log('debug', 'task gone', { piece: pieceName(job.id, p.index), attempt: p.attempt, host: p.host, why });
+    this.log('debug', 'task gone', {
+      piece: pieceName(job.id, p.index),
+      attempt: p.attempt,
+      host: p.host,
+      why,
+    });
     if (outcome === 'done') {
       if (!this.isDone(job, p.index)) {
         chunk.done.add(p.index - chunk.base);
@@ -417,7 +439,8 @@
   private checkCancelled(job: JobRun): void {
     if (!job.cancelled || job.active.size > 0 || this.jobs.get(job.id) !== job) return;
     this.jobs.delete(job.id);
-    for (const c of job.chunks) if (this.replica.stamp(chunkKey(job.id, c.number)) > 0) this.dropChunk(job.id, c.number);
+    for (const c of job.chunks)
+      if (this.replica.stamp(chunkKey(job.id, c.number)) > 0) this.dropChunk(job.id, c.number);
   }
 
   private dropChunk(id: string, chunk: number): void {
@@ -705,7 +728,8 @@
     if (guilty.length >= 2 || (guilty.length >= 1 && m.errors >= 2)) {
       if (!m.condemned) this.log('warn', 'machine fails its tasks', { host: m.host, errors: m.errors });
       m.condemned = true;
-      for (const p of m.placements.values()) if (p.job.spec.shape !== 'gang') p.stop ??= { graceS: p.job.spec.saveS, since: now };
+      for (const p of m.placements.values())
+        if (p.job.spec.shape !== 'gang') p.stop ??= { graceS: p.job.spec.saveS, since: now };
     } else m.avoidUntil = now + this.settings.workers.report_s * 4000;
   }
 
@@ -739,8 +763,9 @@
         for (const p of [...m.placements.values()]) this.gone(p, 'lease ended');
       }
       if (m.record.standing !== 'use' || m.releasing) continue;
-      const ageS = (this.clock.wall - m.record.since) / 1000;
-      if (m.heardAt > 0 ? silentS > w.lease_s + 2 * w.report_s : ageS > m.type.bootS * 4 + w.lease_s) {
+      // Guards against a hasty new owner: before it was heard, a machine may be up under the earlier one.
+      const quietS = (now - m.takenAt) / 1000;
+      if (m.heardAt > 0 ? silentS > w.lease_s + 2 * w.report_s : quietS > m.type.bootS * 4 + w.lease_s) {
         if (m.record.spot && m.heardAt > 0 && m.noticeAt === 0) this.hazard.taken();
         this.release(m, 'dead', m.heardAt > 0 ? 'silent' : 'never came up');
       } else if (m.condemned && m.placements.size === 0) this.release(m, 'dead', 'failing');
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,6 +1,6 @@
 import type { Operators } from '../config/operators.js';
 import type { Settings } from '../config/settings.js';
-import { isPremium, urgencyRank, type JobSpec } from '../model/job.js';
+import { isPremium, urgencyRank, zoneShare, type JobSpec } from '../model/job.js';
 import { fits, timesFits, type Fits, type MachineRecord, type MachineType } from '../model/machine.js';
 import type { Report } from '../model/report.js';
 import { teamCap, typeAllowed } from '../policy/admission.js';
@@ -18,7 +18,8 @@
   spec: JobSpec;
   shard: number;
   count: number;
-  at: number;
+  /** The zones it may be met in; null: any. */
+  zones: string[] | null;
 }
 
 interface Room extends Fits {
@@ -119,7 +120,12 @@
       types.length === this.replica.types.length &&
       types.every((t, i) => {
         const k = this.replica.types[i];
-        return k.name === t.name && k.cpus === t.cpus && !drift(k.price, t.price) && !drift(k.spotPrice, t.spotPrice);
+        return (
+          k.name === t.name &&
+          k.cpus === t.cpus &&
+          !drift(k.price, t.price) &&
+          !drift(k.spotPrice, t.spotPrice)
+        );
       });
     if (same) return;
     this.write(typesKey, () => typesData(types));
@@ -175,7 +181,8 @@
       if (known && l.status === 'failed') this.condemn(known, 'failed');
       // Guards against the late rental: a machine that nobody recorded is taken in once it cannot be one
       // whose rental is being recorded just now.
-      else if (!known && l.ageS > this.settings.cloud.list_lag_s && !this.deletedLately.has(l.host)) this.adopt(l);
+      else if (!known && l.ageS > this.settings.cloud.list_lag_s && !this.deletedLately.has(l.host))
+        this.adopt(l);
     }
     const patience = this.settings.cloud.list_lag_s * 4000;
     for (const m of this.replica.machines.values()) {
@@ -240,7 +247,12 @@
         const lead = this.replica.lead;
         const value = data();
         const stamp = this.replica.stamp(key);
-        if (!lead || lead.member !== this.settings.member || value === null || (value === 'drop' && stamp === 0)) {
+        if (
+          !lead ||
+          lead.member !== this.settings.member ||
+          value === null ||
+          (value === 'drop' && stamp === 0)
+        ) {
           done();
           return null;
         }
@@ -270,7 +282,8 @@
     for (const h of hosts) {
       this.deleting.add(h);
       this.deletedLately.add(h);
-      if (this.deletedLately.size > 1000) this.deletedLately.delete(this.deletedLately.values().next().value!);
+      if (this.deletedLately.size > 1000)
+        this.deletedLately.delete(this.deletedLately.values().next().value!);
     }
     this.log('info', 'returning', { hosts });
     out.push({ e: 'delete', hosts });
@@ -291,7 +304,12 @@
     this.unwanted.clear();
     for (const m of free) {
       const type = this.replica.types.find((t) => t.name === m.type)!;
-      const user = unmet.find((u) => u.count > 0 && this.mayUse(u.spec, type, m.zone, m.spot));
+      const user = unmet.find(
+        (u) =>
+          u.count > 0 &&
+          (u.zones === null || u.zones.includes(m.zone)) &&
+          this.mayUse(u.spec, type, m.zone, m.spot),
+      );
       if (!user) {
         this.unwanted.add(m.host);
         continue;
@@ -390,23 +408,90 @@
       const cap = teamCap(this.settings, spec.team);
       const used = teams.get(spec.team) ?? { cpus: 0, gpus: 0 };
       teams.set(spec.team, used);
-      const allowed = timesFits(spec, { cpus: cap.cpus - used.cpus, gpus: cap.gpus - used.gpus, memGb: Infinity });
-      let left = Math.min(job.waiting, allowed);
+      const allowed = timesFits(spec, {
+        cpus: cap.cpus - used.cpus,
+        gpus: cap.gpus - used.gpus,
+        memGb: Infinity,
+      });
+      const left = Math.min(job.waiting, allowed);
       if (spec.shape === 'gang' && left < job.waiting) continue;
       used.cpus += left * spec.cpus;
       used.gpus += left * spec.gpus;
-      for (const room of rooms.get(shard) ?? []) {
-        if (left <= 0) break;
-        if (!this.mayUse(spec, room.type, room.zone, room.spot)) continue;
-        const n = Math.min(left, timesFits(spec, room));
-        take(room, spec, n);
-        left -= n;
+      for (const part of this.zoneParts(job, left, rooms.get(shard) ?? [])) {
+        let want = part.count;
+        for (const room of rooms.get(shard) ?? []) {
+          if (want <= 0) break;
+          if (!this.mayUse(spec, room.type, room.zone, room.spot)) continue;
+          if (part.zones !== null && !part.zones.includes(room.zone)) continue;
+          const n = Math.min(want, timesFits(spec, room));
+          take(room, spec, n);
+          want -= n;
+        }
+        if (want > 0)
+          unmet.push({ spec, shard, count: Math.ceil(want / this.waves(job)), zones: part.zones });
       }
-      if (left > 0) unmet.push({ spec, shard, count: Math.ceil(left / this.waves(job)), at: job.at });
     }
     return unmet;
   }
 
+  /** Splits a job's waiting tasks by the zones they have to go to. */
+  private zoneParts(
+    job: JobRecord & { spec: JobSpec },
+    count: number,
+    rooms: Room[],
+  ): { count: number; zones: string[] | null }[] {
+    const { spec } = job;
+    if (spec.zone !== null || (!spec.oneZone && !spec.apart)) return [{ count, zones: null }];
+    const zones = [...this.settings.zones];
+    const placed = new Map<string, number>();
+    for (const c of this.replica.chunks.get(job.id)?.values() ?? [])
+      for (const p of c.placed) {
+        const zone = this.replica.machines.get(p.host)?.zone;
+        if (zone !== undefined) placed.set(zone, (placed.get(zone) ?? 0) + 1);
+      }
+    const room = (zone: string): number => {
+      let n = 0;
+      for (const r of rooms)
+        if (r.zone === zone && this.mayUse(spec, r.type, r.zone, r.spot)) n += timesFits(spec, r);
+      return n;
+    };
+    const obtainable = (zone: string): number =>
+      this.replica.types.some(
+        (t) => t.zones.includes(zone) && this.mayUse(spec, t, zone, false) && this.isOpen(t, zone, false),
+      )
+        ? 1
+        : 0;
+    if (spec.oneZone) {
+      const there = [...placed.keys()][0];
+      if (there !== undefined) return [{ count, zones: [there] }];
+      const known = zones.map((z) => ({ z, has: Math.min(room(z), count), can: obtainable(z) }));
+      known.sort((a, b) => Number(b.has >= count) - Number(a.has >= count) || b.can - a.can || b.has - a.has);
+      return [{ count, zones: [known[0].z] }];
+    }
+    const parts: { count: number; zones: string[] | null }[] = [];
+    const open = zones
+      .map((z) => ({
+        z,
+        left: Math.max(0, zoneShare(spec.tasks) - (placed.get(z) ?? 0)),
+        has: room(z),
+        can: obtainable(z),
+      }))
+      .sort((a, b) => b.has - a.has || b.can - a.can);
+    let left = count;
+    for (const o of open) {
+      // Half and half, as far as the zones' shares go.
+      const n = Math.min(left, o.left, Math.max(Math.min(o.has, left), Math.ceil(count / 2)));
+      if (n > 0) parts.push({ count: n, zones: [o.z] });
+      left -= n;
+    }
+    return parts;
+  }
+
+  private isOpen(type: MachineType, zone: string, spot: boolean): boolean {
+    const at = this.refused.get(slotName(type.name, zone, spot)) ?? -Infinity;
+    return this.clock.now - at > this.refusalMs(type.name);
+  }
+
   /** In how many waves a job's tasks may run one after the other and still be in time. */
   private waves(job: JobRecord & { spec: JobSpec }): number {
     const { spec } = job;
@@ -429,9 +514,8 @@
   /** Rents what a job's unmet tasks take, by the policy's score. False: no budget left for now. */
   private rentFor(u: Unmet, out: Effect[]): boolean {
     const { spec } = u;
-    const now = this.clock.now;
     const open = (type: MachineType, zone: string, spot: boolean) =>
-      now - (this.refused.get(slotName(type.name, zone, spot)) ?? -Infinity) > this.refusalMs(type.name);
+      this.isOpen(type, zone, spot) && (u.zones === null || u.zones.includes(zone));
     // Premium stays anchored to a type that can be had; if none can, to the cheapest that fits.
     let anchor = anchorPrice(spec, this.replica.types, (t) => t.zones.some((z) => open(t, z, false)));
     if (!Number.isFinite(anchor)) anchor = anchorPrice(spec, this.replica.types, () => true);
@@ -446,7 +530,14 @@
           if (per < 1 || !fits(spec, type)) continue;
           // Only the CPUs that the tasks will use bring something: the price is for those.
           const useful = Math.min(1, (Math.min(per, u.count) * Math.max(spec.cpus, 0.01)) / type.cpus);
-          const c = candidate(type, spot, this.hazardPerStep(), true, type.cpus, type.bootS + fetchS(spec, type));
+          const c = candidate(
+            type,
+            spot,
+            this.hazardPerStep(),
+            true,
+            type.cpus,
+            type.bootS + fetchS(spec, type),
+          );
           c.price /= useful;
           const s =
             score({ premium: isPremium(spec), cpus: spec.cpus }, c, anchor, weights(this.operators)) -
@@ -466,13 +557,19 @@
       count: Math.min(mostPerRent, Math.ceil(u.count / per)),
     };
     this.renting.set(request.name, { request, shard: u.shard });
-    this.log('info', 'renting', { ...request, job: spec.id, unmet: u.count, urgency: urgencyRank[spec.urgency] });
+    this.log('info', 'renting', {
+      ...request,
+      job: spec.id,
+      unmet: u.count,
+      urgency: urgencyRank[spec.urgency],
+    });
     out.push({ e: 'rent', request });
     return true;
   }
 }
 
-const slotName = (type: string, zone: string, spot: boolean): string => `${type} ${zone} ${spot ? 'spot' : ''}`;
+const slotName = (type: string, zone: string, spot: boolean): string =>
+  `${type} ${zone} ${spot ? 'spot' : ''}`;
 
 function take(room: Fits, need: Fits, n: number): void {
   room.cpus -= n * need.cpus;
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -96,7 +96,8 @@
     }
     const alive = [...this.replica.nodes.values()].sort((a, b) => (a.member < b.member ? -1 : 1));
     for (const node of alive)
-      if (this.seen.get(node.member)?.run !== node.run) this.seen.set(node.member, { run: node.run, at: now });
+      if (this.seen.get(node.member)?.run !== node.run)
+        this.seen.set(node.member, { run: node.run, at: now });
     if (alive.length === 0) return;
     const load = new Map(alive.map((n) => [n.member, 0]));
     const loose: number[] = [];
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -6,10 +6,17 @@
 import type { Dispatcher, JobRun, MachineRun } from './dispatcher.js';
 import type { Operators } from '../config/operators.js';
 
-export const weights = (o: Operators): Weights => ({ hazard: o['hazard-weight'], anchor: o['anchor-weight'] });
+export const weights = (o: Operators): Weights => ({
+  hazard: o['hazard-weight'],
+  anchor: o['anchor-weight'],
+});
 
 /** The cheapest on-demand price per CPU-hour among the types that a job's task fits. */
-export function anchorPrice(spec: JobSpec, types: MachineType[], available: (type: MachineType) => boolean): number {
+export function anchorPrice(
+  spec: JobSpec,
+  types: MachineType[],
+  available: (type: MachineType) => boolean,
+): number {
   let best = Infinity;
   for (const t of types) if (typeAllowed(spec, t) && available(t)) best = Math.min(best, t.price / t.cpus);
   return best;
@@ -180,7 +187,14 @@
       const { spec } = p.job;
       if (p.phase !== 'running' || p.stop || spec.checkpointS <= 0 || isPremium(spec)) continue;
       if (!mayMove((now - p.ranAt) / 1000, d.operators['residency-s'])) continue;
-      if (moveUrgency(c, anchorPrice(spec, d.replica.types, () => true), w) <= 0) continue;
+      if (
+        moveUrgency(
+          c,
+          anchorPrice(spec, d.replica.types, () => true),
+          w,
+        ) <= 0
+      )
+        continue;
       const target = eligible(d, p.job).some((t) => !t.record.spot && fits(spec, roomOf(d, t)));
       if (!target) continue;
       p.stop = { graceS: spec.saveS, since: now };
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -103,7 +103,15 @@
 
 export function readJob(id: string, data: unknown, stamp: number): JobRecord {
   const d = data as { s: JobState; at: number; n?: number; spec?: JobSpec; u?: JobUse };
-  return { id, state: d.s, spec: d.spec ?? null, at: d.at, tasks: d.spec?.tasks ?? d.n ?? 0, use: d.u ?? null, stamp };
+  return {
+    id,
+    state: d.s,
+    spec: d.spec ?? null,
+    at: d.at,
+    tasks: d.spec?.tasks ?? d.n ?? 0,
+    use: d.u ?? null,
+    stamp,
+  };
 }
 
 export const chunkData = (c: Omit<ChunkRecord, 'stamp'>): Data => ({
@@ -132,7 +140,14 @@
 });
 
 export function readMachine(host: string, data: unknown): MachineRecord {
-  const d = data as { f: string; y: string; l: boolean; s: number; st: MachineRecord['standing']; at: number };
+  const d = data as {
+    f: string;
+    y: string;
+    l: boolean;
+    s: number;
+    st: MachineRecord['standing'];
+    at: number;
+  };
   return { host, type: d.f, zone: d.y, spot: d.l, shard: d.s, standing: d.st, since: d.at };
 }
 
--- a/src/net/client.ts
+++ b/src/net/client.ts
@@ -16,7 +16,12 @@
 
   constructor(addr: string, sockets: number) {
     ({ host: this.host, port: this.port } = splitAddr(addr));
-    this.agent = new Agent({ keepAlive: true, maxSockets: sockets, maxFreeSockets: sockets, scheduling: 'fifo' });
+    this.agent = new Agent({
+      keepAlive: true,
+      maxSockets: sockets,
+      maxFreeSockets: sockets,
+      scheduling: 'fifo',
+    });
   }
 
   /** null: no usable answer came; whether the request was carried out is unknown. */
@@ -31,7 +36,9 @@
       };
       const text = body === null ? null : JSON.stringify(body);
       const headers: Record<string, string | number> =
-        text === null ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) };
+        text === null
+          ? {}
+          : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) };
       const req = request(
         { agent: this.agent, host: this.host, port: this.port, method, path, headers },
         (res: IncomingMessage) => {
--- a/src/policy/helios.ts
+++ b/src/policy/helios.ts
@@ -39,7 +39,8 @@
 export const order = (w: Work): number => (w.premium ? 10 : 0) + w.cpus;
 
 /** What a machine costs per CPU-hour, with the hazard amortized. */
-export const exposure = (c: Pick<Candidate, 'price' | 'hazard'>, w: Weights): number => c.price + w.hazard * c.hazard;
+export const exposure = (c: Pick<Candidate, 'price' | 'hazard'>, w: Weights): number =>
+  c.price + w.hazard * c.hazard;
 
 /** Preference for a candidate: larger is better. `anchor` is the cheapest on-demand price per CPU-hour. */
 export function score(work: Work, c: Candidate, anchor: number, w: Weights): number {
@@ -55,5 +56,8 @@
 }
 
 /** How much a task on this machine wants to move away; 0: not at all. */
-export const moveUrgency = (c: Pick<Candidate, 'price' | 'hazard' | 'spot'>, anchor: number, w: Weights): number =>
-  c.spot && exposure(c, w) > anchor ? 0.5 : 0;
+export const moveUrgency = (
+  c: Pick<Candidate, 'price' | 'hazard' | 'spot'>,
+  anchor: number,
+  w: Weights,
+): number => (c.spot && exposure(c, w) > anchor ? 0.5 : 0);
--- a/src/service.ts
+++ b/src/service.ts
@@ -98,7 +98,9 @@
         void this.cloud.types().then((types) => this.push({ c: 'types', types }));
         break;
       case 'rent':
-        void this.cloud.rent(e.request).then((outcome) => this.push({ c: 'rented', request: e.request, outcome }));
+        void this.cloud
+          .rent(e.request)
+          .then((outcome) => this.push({ c: 'rented', request: e.request, outcome }));
         break;
       case 'delete':
         void this.cloud.delete(e.hosts).then((ok) => this.push({ c: 'deleted', hosts: e.hosts, ok }));
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -71,7 +71,7 @@
   async load(): Promise<{ items: Change[]; epoch: number } | null> {
     const items: Change[] = [];
     let epoch = -1;
-    for (let from = ''; ; ) {
+    for (let from = ''; ;) {
       const r = await this.calls.call('GET', scanPath(prefix, from, pageItems), null, timeoutMs * 2);
       const page = r?.status === 200 ? parseItems(r.body) : null;
       if (!page) return null;
--- a/src/users/server.ts
+++ b/src/users/server.ts
@@ -16,12 +16,14 @@
     private readonly healthy: () => boolean,
     maxConnections: number,
   ) {
-    this.server = createServer({ keepAliveTimeout: 120_000, requestTimeout: 10_000, headersTimeout: 10_000 }, (req, res) =>
-      this.serve(req, res),
+    this.server = createServer(
+      { keepAliveTimeout: 120_000, requestTimeout: 10_000, headersTimeout: 10_000 },
+      (req, res) => this.serve(req, res),
     );
     this.server.maxConnections = maxConnections;
     this.server.on('clientError', (_, socket) => {
-      if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+      if (socket.writable)
+        socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
       else socket.destroy();
     });
   }
@@ -76,7 +78,12 @@
   }
 
   /** Reads a body of bounded size; `use` gets it as JSON, `skip` ignores what it says. */
-  private read(req: IncomingMessage, res: ServerResponse, use: ((body: unknown) => void) | null, skip?: () => void): void {
+  private read(
+    req: IncomingMessage,
+    res: ServerResponse,
+    use: ((body: unknown) => void) | null,
+    skip?: () => void,
+  ): void {
     const parts: Buffer[] = [];
     let size = 0;
     let refused = false;
--- a/src/wire/user.ts
+++ b/src/wire/user.ts
@@ -6,7 +6,12 @@
 const maybe = <T extends v.GenericSchema>(schema: T) => v.optional(v.nullable(schema), null);
 
 const shapes: Record<string, Shape> = { sweep: 'array', ensemble: 'gang', standing: 'service' };
-const urgencies: Record<string, Urgency> = { production: 'production', urgent: 'high', normal: 'normal', low: 'low' };
+const urgencies: Record<string, Urgency> = {
+  production: 'production',
+  urgent: 'high',
+  normal: 'normal',
+  low: 'low',
+};
 
 const submission = v.object({
   nameId: v.pipe(v.string(), v.regex(/^req-\d{1,20}$/)),
--- a/src/wire/worker.ts
+++ b/src/wire/worker.ts
@@ -81,7 +81,10 @@
   return { verb: 'clear', piece, try: o.attempt };
 }
 
-export const answerOut = (token: number, orders: Order[]): object => ({ baton: token, orders: orders.map(orderOut) });
+export const answerOut = (token: number, orders: Order[]): object => ({
+  baton: token,
+  orders: orders.map(orderOut),
+});
 export const ordersOut = (token: number, session: number, orders: Order[]): object => ({
   baton: token,
   tenure: session,
--- /dev/null
+++ b/test/policy.test.ts
@@ -0,0 +1,115 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { parseOperators } from '../src/config/operators.js';
+import { parseSettings } from '../src/config/settings.js';
+import { mayMove, moveBudget, spotAllowed } from '../src/policy/guardrails.js';
+import { HazardEstimate } from '../src/policy/hazard.js';
+import { moveUrgency, order, score, type Candidate } from '../src/policy/helios.js';
+import { parseSubmission } from '../src/wire/user.js';
+import { settingsText, spec } from './world.js';
+
+const w = { hazard: 10, anchor: 0.5 };
+const at = (over: Partial<Candidate>): Candidate => ({
+  price: 0.1,
+  spot: false,
+  hazard: 0,
+  fresh: false,
+  freeCpus: 4,
+  delayMin: 0,
+  ...over,
+});
+
+test('premium goes first, then larger tasks', () => {
+  assert.ok(order({ premium: true, cpus: 1 }) > order({ premium: false, cpus: 8 }));
+  assert.ok(order({ premium: false, cpus: 8 }) > order({ premium: false, cpus: 2 }));
+});
+
+test('hazard is priced in: cheap spot wins until it is taken too often', () => {
+  const work = { premium: false, cpus: 1 };
+  const ondemand = at({});
+  assert.ok(
+    score(work, at({ price: 0.03, spot: true, hazard: 0.001 }), 0.1, w) > score(work, ondemand, 0.1, w),
+  );
+  assert.ok(
+    score(work, at({ price: 0.03, spot: true, hazard: 0.02 }), 0.1, w) < score(work, ondemand, 0.1, w),
+  );
+  assert.equal(moveUrgency({ price: 0.03, spot: true, hazard: 0.001 }, 0.1, w), 0);
+  assert.ok(moveUrgency({ price: 0.03, spot: true, hazard: 0.02 }, 0.1, w) > 0);
+});
+
+test('premium is anchored to the cheapest on-demand price', () => {
+  const work = { premium: true, cpus: 1 };
+  assert.ok(score(work, at({ price: 0.1 }), 0.1, w) > score(work, at({ price: 0.2 }), 0.1, w));
+  assert.ok(score(work, at({ price: 0.1 }), 0.1, w) > score(work, at({ price: 0.1 }), 0.2, w));
+});
+
+test('guardrails: no spot for services and gangs, a budget and a residency for moves', () => {
+  assert.equal(spotAllowed(spec('req-1', { spot: true })), true);
+  assert.equal(spotAllowed(spec('req-1', { spot: true, shape: 'gang' })), false);
+  assert.equal(spotAllowed(spec('req-1', { spot: true, shape: 'service' })), false);
+  assert.equal(moveBudget(0.05, 41), 3);
+  assert.equal(mayMove(59, 60), false);
+});
+
+test('the hazard estimate follows what is seen and falls back to its prior', () => {
+  const h = new HazardEstimate(0.5);
+  assert.equal(h.perHour(), 0.5);
+  for (let i = 0; i < 5; i++) h.taken();
+  assert.ok(h.perHour() > 5);
+  h.observe(10, 3600);
+  assert.ok(h.perHour() < 1);
+});
+
+test('settings: a bad field is named in one line', () => {
+  assert.throws(
+    () => parseSettings(settingsText('n0', 1).replace('lease_s = 16.0', 'lease_s = "x"')),
+    /deployment\.workers\.lease_s: [^\n]+$/,
+  );
+  assert.throws(() => parseSettings('member = '), /not valid TOML/);
+  assert.throws(() => parseOperators('(dapplepick (nonsense 3))'), /nonsense: unknown setting/);
+  assert.throws(() => parseOperators('(dapplepick (round-s zero))'), /round-s: must be a number/);
+  assert.equal(parseOperators('; ours\n(dapplepick (round-s 5))')['round-s'], 5);
+});
+
+test('submissions: missing, wrong or surplus fields', () => {
+  const good = {
+    nameId: 'req-000412',
+    jobclass: 'train',
+    owner: 'vision',
+    shape: 'ensemble',
+    urgency: 'urgent',
+    pieces: 16,
+    cpus: 8,
+    cards: 1,
+    memGb: 64,
+    bundle: 'img-07',
+    pullGb: 6.2,
+    flavours: ['g8'],
+    yard: null,
+    oneZone: true,
+    apart: false,
+    loaners: true,
+    expectS: 240,
+    snapshotS: 30,
+    flushS: 4,
+    dueS: 900,
+    surplus: 1,
+  };
+  const job = parseSubmission(good);
+  assert.ok(
+    typeof job === 'object' && job.shape === 'gang' && job.urgency === 'high' && job.deadlineS === 900,
+  );
+  assert.ok(typeof parseSubmission({ ...good, flavours: undefined, dueS: undefined }) === 'object');
+  for (const bad of [
+    null,
+    [],
+    'x',
+    { ...good, pieces: 0 },
+    { ...good, pieces: 100_001 },
+    { ...good, nameId: 'job' },
+    { ...good, cpus: -1 },
+    { ...good, shape: 'x' },
+    { ...good, owner: undefined },
+  ])
+    assert.equal(typeof parseSubmission(bad), 'string');
+});
--- /dev/null
+++ b/test/rules.test.ts
@@ -0,0 +1,280 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { box, spec, World } from './world.js';
+
+const up = (w: World): void =>
+  assert.ok(
+    w.playUntil(
+      () =>
+        w.nodes.every((n) => n.controller.replica.types.length > 0 && n.controller.replica.shards.size > 0),
+      20,
+    ),
+  );
+
+test('a job is accepted once, runs, and stays done at every controller', () => {
+  const w = new World(3);
+  up(w);
+  assert.equal(w.nodes[0].submit(spec('req-1'))?.status, 201);
+  assert.equal(w.nodes[1].submit(spec('req-1'))?.status, 200);
+  assert.ok(w.playUntil(() => w.nodes[2].status('req-1')?.body['status'] === 'done', 120));
+  for (const n of w.nodes) {
+    assert.equal(n.status('req-1')?.body['status'], 'done');
+    assert.equal(n.withdraw('req-1')?.body['status'], 'done');
+    assert.equal(n.submit(spec('req-1'))?.status, 200);
+  }
+  assert.equal(w.finished.length, 2);
+  assert.deepEqual(w.broken, []);
+});
+
+test('not_done: the end is told only after every task is done and durable', () => {
+  const w = new World(1);
+  up(w);
+  w.nodes[0].submit(spec('req-1', { tasks: 12, team: 'blue' }));
+  let toldAt = -1;
+  w.playUntil(() => {
+    if (w.nodes[0].status('req-1')?.body['status'] === 'done') toldAt = w.finished.length;
+    return toldAt >= 0;
+  }, 200);
+  assert.equal(toldAt, 12);
+});
+
+test('invented and forgotten: unknown jobs get 404, known ones never, also after all controllers restart', () => {
+  const w = new World(3);
+  up(w);
+  assert.equal(w.nodes[0].status('req-77')?.status, 404);
+  assert.equal(w.nodes[0].withdraw('req-77')?.status, 404);
+  assert.equal(w.nodes[0].submit(spec('req-1'))?.status, 201);
+  for (const n of w.nodes) n.alive = false;
+  w.play(4);
+  for (const n of w.nodes) n.boot();
+  w.play(1);
+  for (const n of w.nodes) assert.equal(n.status('req-1')?.status, 200);
+  assert.ok(w.playUntil(() => w.nodes[1].status('req-1')?.body['status'] === 'done', 120));
+  assert.deepEqual(w.broken, []);
+});
+
+test('forgotten: a view that lags behind makes no 404 and no 422 of an accepted job', () => {
+  const w = new World(2);
+  up(w);
+  w.nodes[1].cut = true;
+  assert.equal(w.nodes[0].submit(spec('req-1'))?.status, 201);
+  assert.equal(w.nodes[1].status('req-1')?.status, 503);
+  assert.equal(w.nodes[1].submit(spec('req-1', { team: 'nobody' }))?.status, 503);
+  w.nodes[1].cut = false;
+  assert.equal(w.nodes[1].status('req-1')?.status, 200);
+});
+
+test('what can never run gets 422, and an outage gets 503 at once with Retry-After', () => {
+  const w = new World(1);
+  up(w);
+  const n = w.nodes[0];
+  assert.equal(n.submit(spec('req-1', { team: 'nobody' }))?.status, 422);
+  assert.equal(n.submit(spec('req-2', { cpus: 9 }))?.status, 422);
+  assert.equal(n.submit(spec('req-3', { shape: 'gang', tasks: 17 }))?.status, 422);
+  assert.equal(n.submit(spec('req-4', { tasks: 17 }))?.status, 201);
+  w.state.down = true;
+  const before = w.now;
+  const a = n.submit(spec('req-5'));
+  assert.equal(a?.status, 503);
+  assert.ok((a?.retryAfterS ?? 0) >= 1);
+  assert.ok(w.now - before < 1000);
+});
+
+test('quota: a cap counts everything that is not proven gone', () => {
+  const w = new World(1);
+  up(w);
+  w.nodes[0].submit(spec('req-1', { tasks: 30, cpus: 1 }));
+  let most = 0;
+  w.playUntil(() => {
+    most = Math.max(most, w.running('req-1').length);
+    return w.now > 100_000;
+  }, 100);
+  assert.equal(most, 16);
+});
+
+test('wrong_place: type, zone, kind, oneZone and apart are kept', () => {
+  const w = new World(1);
+  w.types = [box, { ...box, name: 'big', cpus: 32, memGb: 128, price: 2, spotPrice: 0.2 }];
+  w.capacity = 40;
+  up(w);
+  const n = w.nodes[0];
+  n.submit(spec('req-1', { team: 'blue', types: ['box'], zone: 'south', tasks: 4 }));
+  n.submit(spec('req-2', { team: 'blue', shape: 'gang', apart: true, tasks: 5, cpus: 8, spot: true }));
+  n.submit(spec('req-3', { team: 'blue', shape: 'gang', oneZone: true, tasks: 3, cpus: 8 }));
+  n.submit(spec('req-4', { team: 'blue', shape: 'service', tasks: 2, spot: true }));
+  assert.ok(
+    w.playUntil(() => [1, 2, 3, 4].every((i) => w.starts.some((s) => s.piece.startsWith(`req-${i}/`))), 120),
+  );
+  const where = (job: string) =>
+    new Map(
+      w.starts.filter((s) => s.piece.startsWith(`${job}/`)).map((s) => [s.piece, w.workers.get(s.host)!]),
+    );
+  for (const m of where('req-1').values()) assert.deepEqual([m.type, m.zone], ['box', 'south']);
+  const zones = [...where('req-2').values()].map((m) => m.zone);
+  for (const z of ['north', 'south']) assert.ok(zones.filter((x) => x === z).length <= 3);
+  assert.equal(new Set([...where('req-3').values()].map((m) => m.zone)).size, 1);
+  for (const job of ['req-2', 'req-4']) for (const m of where(job).values()) assert.equal(m.spot, false);
+});
+
+test('ran_cancelled: a cancellation stops tasks, also through a takeover', () => {
+  const w = new World(3);
+  up(w);
+  w.nodes[0].submit(spec('req-1', { shape: 'service', tasks: 3 }));
+  assert.ok(w.playUntil(() => w.running('req-1').length === 3, 60));
+  const owner = w.nodes.find((n) => n.controller.dispatcher.jobs.has('req-1'))!;
+  owner.alive = false;
+  const other = w.nodes.find((n) => n !== owner)!;
+  assert.equal(other.withdraw('req-1')?.body['status'], 'aborted');
+  w.cancelledAt.set('req-1', w.now);
+  assert.ok(w.playUntil(() => w.running('req-1').length === 0, 36));
+  w.play(20);
+  assert.deepEqual(w.broken, []);
+  for (const n of w.nodes.filter((x) => x.alive)) assert.equal(n.status('req-1')?.body['status'], 'aborted');
+});
+
+test('a cancellation that races a start wins: the placement fails and nothing is started', () => {
+  const w = new World(2);
+  up(w);
+  w.nodes[0].submit(spec('req-1'));
+  // The owner does not see the cancellation before it commits its placement.
+  w.nodes[1].withdraw('req-1');
+  const cancelled = w.now;
+  w.play(60);
+  assert.ok(w.starts.every((s) => !s.piece.startsWith('req-1/') || s.at <= cancelled));
+});
+
+test('ran_twice: a new owner leaves tasks where they are, and the stale owner is not obeyed', () => {
+  const w = new World(2, { shards: 1 });
+  up(w);
+  w.nodes[0].submit(spec('req-1', { tasks: 4 }));
+  assert.ok(w.playUntil(() => w.running('req-1').length === 4, 60));
+  const owner = w.nodes.find((n) => n.controller.dispatcher.jobs.has('req-1'))!;
+  owner.cut = true;
+  w.play(60);
+  owner.cut = false;
+  assert.ok(w.playUntil(() => w.finished.length >= 4, 120));
+  assert.deepEqual(w.broken, []);
+});
+
+test('ran_twice: silence frees a task only when its lease has surely ended', () => {
+  const w = new World(1);
+  up(w);
+  w.nodes[0].submit(spec('req-1', { tasks: 1, shape: 'service' }));
+  assert.ok(w.playUntil(() => w.running('req-1').length === 1, 60));
+  const host = w.running('req-1')[0].host;
+  w.workers.get(host)!.silent = true;
+  assert.ok(w.playUntil(() => w.running('req-1').some((r) => r.host !== host), 90));
+  assert.deepEqual(w.broken, []);
+});
+
+test('a late report proves nothing: its tasks list is as old as itself', () => {
+  const w = new World(1);
+  up(w);
+  w.nodes[0].submit(spec('req-1', { tasks: 1, shape: 'service' }));
+  const host = () => w.running('req-1')[0]?.host;
+  w.playUntil(() => [...w.workers.values()].some((x) => x.token > 0), 30);
+  const worker = [...w.workers.values()].find((x) => x.token > 0)!;
+  const old = worker.report();
+  assert.ok(w.playUntil(() => host() !== undefined, 60));
+  w.play(5);
+  w.nodes[0].push({
+    c: 'checkin',
+    rid: 5,
+    report: { ...old, host: host()!, token: w.workers.get(host()!)!.token },
+  });
+  w.play(30);
+  assert.equal(w.running('req-1').length, 1);
+  assert.equal(w.starts.filter((s) => s.piece === 'req-1/0').length, 1);
+});
+
+test('commit before start: a crash between commit and start loses nothing and starts nothing twice', () => {
+  const w = new World(1);
+  up(w);
+  w.nodes[0].submit(spec('req-1', { tasks: 3 }));
+  const placed = () => w.commits.some((c) => c.txn.apply.some((a) => a.key.startsWith('dp/t/')));
+  assert.ok(w.playUntil(placed, 60));
+  assert.equal(w.starts.length, 0);
+  w.nodes[0].alive = false;
+  w.play(4);
+  w.nodes[0].boot();
+  assert.ok(w.playUntil(() => w.finished.length === 3, 90));
+  assert.deepEqual(w.broken, []);
+});
+
+test('a lost commit answer: the submission is accepted once and its task placed once', () => {
+  const w = new World(1);
+  up(w);
+  w.state.loseAnswers = true;
+  w.after(2500, () => (w.state.loseAnswers = false));
+  const a = w.nodes[0].submit(spec('req-1'));
+  assert.ok(a?.status === 201 || a?.status === 200 || a?.status === 503);
+  assert.ok(w.playUntil(() => w.nodes[0].status('req-1')?.body['status'] === 'done', 120));
+  assert.equal(w.finished.length, 2);
+  assert.deepEqual(w.broken, []);
+});
+
+test('went_back: cancelled stays cancelled though its tasks finish at the same moment', () => {
+  const w = new World(2);
+  up(w);
+  w.nodes[0].submit(spec('req-1', { tasks: 1 }));
+  assert.ok(w.playUntil(() => w.finished.length === 1, 90));
+  const first = w.nodes[1].withdraw('req-1')?.body['status'];
+  w.play(10);
+  for (const n of w.nodes) assert.equal(n.status('req-1')?.body['status'], first);
+});
+
+test('late rental: a machine nobody asked for is used or returned', () => {
+  const w = new World(1);
+  up(w);
+  const stray = w.addWorker('box', 'north', false);
+  assert.ok(w.playUntil(() => w.deleted.includes(stray.host), 60));
+});
+
+test('hire names are never used again, also by later leaders', () => {
+  const w = new World(2);
+  w.capacity = 0;
+  up(w);
+  w.nodes[0].submit(spec('req-1'));
+  w.play(30);
+  const leader = w.nodes.find((n) => n.controller.membership.leading)!;
+  leader.alive = false;
+  w.play(30);
+  leader.boot();
+  w.play(30);
+  assert.ok(w.rentals.length > 2);
+  assert.equal(new Set(w.rentals.map((r) => r.name)).size, w.rentals.length);
+});
+
+test('gang: a lost task takes the attempt down; the next one starts whole after all of it is gone', () => {
+  const w = new World(1);
+  up(w);
+  w.nodes[0].submit(spec('req-1', { shape: 'gang', tasks: 2, cpus: 8 }));
+  assert.ok(w.playUntil(() => w.running('req-1').length === 2, 60));
+  const lost = w.workers.get(w.running('req-1')[0].host)!;
+  lost.silent = true;
+  assert.ok(w.playUntil(() => w.running('req-1').filter((r) => r.host !== lost.host).length === 2, 120));
+  assert.deepEqual(w.broken, []);
+});
+
+test('a machine that fails its tasks is given up and the job is done elsewhere', () => {
+  const w = new World(1);
+  up(w);
+  w.nodes[0].submit(spec('req-1', { tasks: 2 }));
+  w.playUntil(() => w.workers.size > 0, 30);
+  const sick = [...w.workers.values()][0];
+  sick.sick = true;
+  assert.ok(w.playUntil(() => w.nodes[0].status('req-1')?.body['status'] === 'done', 200));
+  assert.ok(w.deleted.includes(sick.host));
+});
+
+test('a takeover does not mistake machines it has not heard yet for ones that never came up', () => {
+  const w = new World(2, { shards: 1 });
+  up(w);
+  w.nodes[0].submit(spec('req-1', { shape: 'service', tasks: 2 }));
+  assert.ok(w.playUntil(() => w.running('req-1').length === 2, 60));
+  w.play(60);
+  w.nodes.find((n) => n.controller.dispatcher.jobs.has('req-1'))!.alive = false;
+  w.play(30);
+  assert.deepEqual(w.deleted, []);
+  assert.equal(w.running('req-1').length, 2);
+});
--- /dev/null
+++ b/test/world.ts
@@ -0,0 +1,542 @@
+/**
+ * A small scripted world on a fake clock: state service, cloud and workers as the protocol describes them,
+ * written for these tests. Everything happens at set moments, so a test can put a failure just where it hurts.
+ */
+import { defaults, type Operators } from '../src/config/operators.js';
+import { parseSettings, type Settings } from '../src/config/settings.js';
+import { Controller } from '../src/core/controller.js';
+import type { Command, CommitOutcome, Effect } from '../src/core/effects.js';
+import { prefix } from '../src/core/keys.js';
+import type { JobSpec } from '../src/model/job.js';
+import type { MachineType } from '../src/model/machine.js';
+import type { Order, Report, TaskReport } from '../src/model/report.js';
+import type { Change, Txn } from '../src/wire/store.js';
+
+export const settingsText = (member: string, nodes: number): string => `
+member = "${member}"
+location = "north"
+public_addr = "127.0.0.1:8080"
+back = "127.0.0.1:8081"
+${Array.from({ length: nodes }, (_, i) => `n${i}`)
+  .filter((n) => n !== member)
+  .map((n) => `[[others]]\nmember = "${n}"\nlocation = "south"\npeer_addr = "127.0.0.1:9001"`)
+  .join('\n')}
+[endpoints]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:2"
+[deployment]
+zones = ["north", "south"]
+[[deployment.teams]]
+name = "red"
+cpus = 8.0
+cpus_max = 16.0
+[[deployment.teams]]
+name = "blue"
+[deployment.workers]
+report_s = 2.0
+lease_s = 16.0
+gang_wait_s = 30.0
+gang_peer_s = 5.0
+cancel_s = 36.0
+[deployment.state]
+rps = 100.0
+write_rps = 40.0
+value_kb = 8.0
+txn_ops = 24
+[deployment.cloud]
+rps = 8.0
+list_lag_s = 5.0
+`;
+
+export const box: MachineType = {
+  name: 'box',
+  cpus: 8,
+  gpus: 0,
+  memGb: 32,
+  cacheGb: 50,
+  fetchGbPerS: 1,
+  price: 1,
+  spotPrice: 0.3,
+  bootS: 10,
+  zones: ['north', 'south'],
+};
+
+export const spec = (id: string, over: Partial<JobSpec> = {}): JobSpec => ({
+  id,
+  class: 'c',
+  team: 'red',
+  shape: 'array',
+  urgency: 'normal',
+  tasks: 2,
+  cpus: 1,
+  gpus: 0,
+  memGb: 1,
+  image: 'img',
+  imageGb: 1,
+  types: null,
+  zone: null,
+  oneZone: false,
+  apart: false,
+  spot: false,
+  estimateS: 20,
+  checkpointS: 0,
+  saveS: 0,
+  deadlineS: null,
+  ...over,
+});
+
+export class StateService {
+  epoch = 1;
+  down = false;
+  /** Executed, but the answer to a commit gets lost. */
+  loseAnswers = false;
+  readonly keys = new Map<string, Change & { hold?: number }>();
+  readonly log: Change[] = [];
+  private holds = new Map<number, number>();
+  private nextHold = 1;
+
+  constructor(private readonly world: World) {}
+
+  commit(txn: Txn): CommitOutcome {
+    if (this.down) return { r: 'refused' };
+    this.expire();
+    if (txn.apply.some((w) => w.hold !== undefined && !this.holds.has(w.hold))) return { r: 'unleased' };
+    const failed = txn.when.filter((c) => (this.keys.get(c.key)?.stamp ?? 0) !== c.stamp).map((c) => c.key);
+    if (failed.length > 0) return { r: 'conflict', failed, epoch: this.epoch };
+    if (txn.apply.length > 0) this.epoch++;
+    for (const w of txn.apply) {
+      const change = { key: w.key, data: w.data && JSON.parse(JSON.stringify(w.data)), stamp: this.epoch };
+      if (w.data === undefined) this.keys.delete(w.key);
+      else this.keys.set(w.key, { ...change, hold: w.hold });
+      this.log.push(change);
+    }
+    return { r: 'ok', epoch: this.epoch };
+  }
+
+  lease(ttlMs: number): number | null {
+    if (this.down) return null;
+    const hold = this.nextHold++;
+    this.holds.set(hold, this.world.now + ttlMs);
+    this.ttl.set(hold, ttlMs);
+    return hold;
+  }
+  private ttl = new Map<number, number>();
+
+  renew(hold: number): 'ok' | 'gone' | 'failed' {
+    if (this.down) return 'failed';
+    this.expire();
+    if (!this.holds.has(hold)) return 'gone';
+    this.holds.set(hold, this.world.now + this.ttl.get(hold)!);
+    return 'ok';
+  }
+
+  end(hold: number): void {
+    this.holds.delete(hold);
+    const gone = [...this.keys.values()].filter((k) => k.hold === hold);
+    if (gone.length > 0) this.epoch++;
+    for (const k of gone) {
+      this.keys.delete(k.key);
+      this.log.push({ key: k.key, data: undefined, stamp: this.epoch });
+    }
+  }
+
+  expire(): void {
+    if (this.down)
+      for (const hold of this.holds.keys()) this.holds.set(hold, this.world.now + this.ttl.get(hold)!);
+    for (const [hold, until] of [...this.holds]) if (until < this.world.now) this.end(hold);
+  }
+
+  items(): Change[] {
+    return [...this.keys.values()]
+      .filter((k) => k.key.startsWith(prefix))
+      .map(({ key, data, stamp }) => ({ key, data, stamp }));
+  }
+}
+
+export class Node {
+  controller!: Controller;
+  private queue: Command[] = [];
+  alive = true;
+  /** Cut off from the state service: it gets no answers and sees no changes. */
+  cut = false;
+  private followed = -1;
+  answers = new Map<number, { status: number; body: Record<string, unknown>; retryAfterS?: number }>();
+  private runs = 0;
+  /** Called instead of handing on a commit's outcome, if set. */
+  constructor(
+    readonly world: World,
+    readonly member: string,
+    readonly settings: Settings,
+    readonly operators: Operators,
+  ) {
+    this.boot();
+  }
+
+  boot(): void {
+    this.alive = true;
+    this.queue = [];
+    this.followed = -1;
+    this.controller = new Controller(
+      this.settings,
+      this.operators,
+      `${this.member}r${++this.runs}`,
+      () => undefined,
+    );
+  }
+
+  push(c: Command): void {
+    if (this.alive) this.queue.push(c);
+  }
+
+  step(): void {
+    if (!this.alive) return;
+    const s = this.world.state;
+    if (!this.cut && !s.down) {
+      if (this.followed < 0) this.push({ c: 'loaded', items: s.items(), epoch: s.epoch });
+      else if (this.followed < s.epoch)
+        this.push({ c: 'changes', changes: s.log.filter((c) => c.stamp > this.followed), epoch: s.epoch });
+      this.followed = s.epoch;
+    }
+    const commands = this.queue;
+    this.queue = [];
+    const controller = this.controller;
+    for (const e of controller.step(commands, { now: this.world.now, wall: 1e12 + this.world.now })) {
+      const reply = (c: Command | null) =>
+        this.world.after(5, () => {
+          if (c && this.alive && this.controller === controller) this.queue.push(c);
+        });
+      this.carryOut(e, reply);
+    }
+  }
+
+  private carryOut(e: Effect, reply: (c: Command | null) => void): void {
+    const w = this.world;
+    const off = this.cut || w.state.down;
+    switch (e.e) {
+      case 'answer':
+        this.answers.set(e.rid, {
+          status: e.status,
+          body: e.body as Record<string, unknown>,
+          retryAfterS: e.retryAfterS,
+        });
+        break;
+      case 'commit': {
+        if (this.cut) return reply({ c: 'committed', outcome: { r: 'refused' } });
+        const outcome = w.state.commit(e.txn);
+        w.commits.push({ member: this.member, txn: e.txn, outcome });
+        reply({ c: 'committed', outcome: w.state.loseAnswers ? { r: 'unknown' } : outcome });
+        break;
+      }
+      case 'epoch':
+        reply({ c: 'epoch', sentAt: w.now, epoch: off ? null : w.state.epoch });
+        break;
+      case 'lease':
+        reply({ c: 'leased', hold: off ? null : w.state.lease(e.ttlMs) });
+        break;
+      case 'renew':
+        reply({ c: 'renewed', hold: e.hold, outcome: off ? 'failed' : w.state.renew(e.hold) });
+        break;
+      case 'unlease':
+        if (!off) w.state.end(e.hold);
+        break;
+      case 'types':
+        reply({ c: 'types', types: w.cloudDown ? null : w.types });
+        break;
+      case 'rent': {
+        w.rentals.push(e.request);
+        if (w.cloudDown) return reply({ c: 'rented', request: e.request, outcome: 'refused' });
+        if (w.capacity <= 0) return reply({ c: 'rented', request: e.request, outcome: 'none' });
+        const hosts: string[] = [];
+        for (let i = 0; i < e.request.count && w.capacity > 0; i++) {
+          w.capacity--;
+          hosts.push(w.addWorker(e.request.type, e.request.zone, e.request.spot).host);
+        }
+        reply({ c: 'rented', request: e.request, outcome: { hosts } });
+        break;
+      }
+      case 'delete':
+        if (w.cloudDown) return reply({ c: 'deleted', hosts: e.hosts, ok: false });
+        for (const h of e.hosts) {
+          w.deleted.push(h);
+          w.workers.delete(h);
+        }
+        reply({ c: 'deleted', hosts: e.hosts, ok: true });
+        break;
+      case 'list':
+        reply({
+          c: 'listed',
+          askedAt: w.now,
+          machines: w.cloudDown
+            ? null
+            : [...w.workers.values()].map((x) => ({
+                host: x.host,
+                endpoint: '127.0.0.1:5',
+                type: x.type,
+                zone: x.zone,
+                spot: x.spot,
+                status: 'running' as const,
+                ageS: (w.now - x.bornAt) / 1000,
+              })),
+        });
+        break;
+      case 'order':
+        w.workers.get(e.host)?.execute(e.orders, e.token);
+        break;
+      case 'catch-up':
+        break;
+    }
+  }
+
+  private rid = 1000;
+  /** Sends a request and plays until it is answered. */
+  ask(c: (rid: number) => Command, withinMs = 6000) {
+    const rid = ++this.rid;
+    this.push(c(rid));
+    const until = this.world.now + withinMs;
+    while (!this.answers.has(rid) && this.world.now < until) this.world.play(0.01);
+    return this.answers.get(rid);
+  }
+  submit = (job: JobSpec) => {
+    if (job.shape === 'service') this.world.endless.add(job.id);
+    return this.ask((rid) => ({ c: 'submit', rid, spec: job }));
+  };
+  status = (id: string) => this.ask((rid) => ({ c: 'query', rid, id }));
+  withdraw = (id: string) => this.ask((rid) => ({ c: 'withdraw', rid, id }));
+}
+
+interface Running {
+  report: TaskReport;
+  since: number;
+}
+
+/** A worker: sessions, leases, tokens and orders as the protocol has them. */
+export class Worker {
+  session = 1;
+  seq = 0;
+  token = 0;
+  tasks = new Map<string, Running>();
+  noticeS: number | null = null;
+  silent = false;
+  sick = false;
+  runS = 20;
+  private leaseFrom: number;
+  private at: number;
+  private target = 0;
+  readonly bornAt: number;
+  constructor(
+    readonly world: World,
+    readonly host: string,
+    readonly type: string,
+    readonly zone: string,
+    readonly spot: boolean,
+  ) {
+    this.bornAt = this.leaseFrom = world.now;
+    this.at = world.now + 1000;
+  }
+
+  report(): Report {
+    this.seq++;
+    return {
+      host: this.host,
+      endpoint: '127.0.0.1:5',
+      type: this.type,
+      zone: this.zone,
+      spot: this.spot,
+      session: this.session,
+      seq: this.seq,
+      token: this.token,
+      noticeS: this.noticeS,
+      tasks: [...this.tasks.values()].map((t) => ({ ...t.report })),
+    };
+  }
+
+  /** Things that go on without any controller. */
+  live(): void {
+    const w = this.world;
+    if (w.now - this.leaseFrom > w.leaseMs) {
+      this.tasks.clear();
+      this.session++;
+      this.leaseFrom = w.now;
+    }
+    for (const t of this.tasks.values())
+      if (
+        t.report.phase === 'running' &&
+        !w.endless.has(t.report.job) &&
+        w.now - t.since > this.runS * 1000
+      ) {
+        t.report.phase = 'exited';
+        t.report.why = 'done';
+        w.finished.push(`${t.report.job}/${t.report.index}`);
+      }
+  }
+
+  step(): void {
+    const w = this.world;
+    this.live();
+    if (this.silent || w.now < this.at) return;
+    this.at = w.now + w.reportMs;
+    const node = w.nodes[this.target % w.nodes.length];
+    if (!node.alive) {
+      this.target++;
+      this.at = w.now + 1000;
+      return;
+    }
+    const sentAt = w.now;
+    const session = this.session;
+    const rid = ++w.rids;
+    node.push({ c: 'checkin', rid, report: this.report() });
+    w.after(30, () => this.answered(node, rid, sentAt, session));
+  }
+
+  private answered(node: Node, rid: number, sentAt: number, session: number): void {
+    const w = this.world;
+    const a = node.answers.get(rid);
+    node.answers.delete(rid);
+    if (this.silent || session !== this.session) return;
+    if (a?.status !== 200) {
+      const boss = w.nodes.findIndex((n) => n.member === a?.body['boss']);
+      this.target = boss >= 0 && w.nodes[boss] !== node ? boss : this.target + 1;
+      this.at = w.now + (boss >= 0 ? 50 : 1000);
+      return;
+    }
+    const body = a.body as {
+      baton: number;
+      orders: { verb: string; piece: string; try: number; windDownS?: number }[];
+    };
+    if (body.baton < this.token) return;
+    if (body.baton > this.token) this.at = Math.min(this.at, w.now + 500);
+    this.token = body.baton;
+    this.leaseFrom = sentAt;
+    this.execute(
+      body.orders.map((o) => {
+        const [job, index] = o.piece.split('/');
+        const base = { job, index: Number(index), attempt: o.try };
+        if (o.verb === 'run') return { op: 'start' as const, ...base };
+        if (o.verb === 'kill') return { op: 'stop' as const, ...base, graceS: o.windDownS ?? 0 };
+        return { op: 'forget' as const, ...base };
+      }),
+      body.baton,
+    );
+  }
+
+  execute(orders: Order[], token: number): void {
+    if (token < this.token) return;
+    for (const o of orders) {
+      const piece = `${o.job}/${o.index}`;
+      const t = this.tasks.get(piece);
+      if (o.op === 'start') {
+        this.world.noteStart(this, o.job, o.index, t !== undefined);
+        if (t) continue;
+        const report: TaskReport = {
+          job: o.job,
+          index: o.index,
+          attempt: o.attempt,
+          phase: 'running',
+          why: null,
+          saved: false,
+        };
+        if (this.sick) Object.assign(report, { phase: 'exited', why: 'error' });
+        this.tasks.set(piece, { report, since: this.world.now });
+      } else if (t?.report.attempt === o.attempt) {
+        if (o.op === 'forget' && t.report.phase === 'exited') this.tasks.delete(piece);
+        if (o.op === 'stop' && t.report.phase !== 'exited')
+          Object.assign(t.report, { phase: 'exited', why: 'stopped', saved: o.graceS > 0 });
+      }
+      this.at = Math.min(this.at, this.world.now + 500);
+    }
+  }
+
+  holds(piece: string): boolean {
+    const t = this.tasks.get(piece);
+    return t !== undefined && t.report.phase !== 'exited';
+  }
+}
+
+export class World {
+  now = 0;
+  readonly state = new StateService(this);
+  readonly nodes: Node[] = [];
+  readonly workers = new Map<string, Worker>();
+  readonly commits: { member: string; txn: Txn; outcome: CommitOutcome }[] = [];
+  readonly rentals: { name: string; type: string; zone: string; spot: boolean; count: number }[] = [];
+  readonly deleted: string[] = [];
+  readonly finished: string[] = [];
+  /** Services: their tasks never complete. */
+  readonly endless = new Set<string>();
+  readonly starts: { piece: string; host: string; at: number }[] = [];
+  /** Broken rules, as a referee who sees everything finds them. */
+  readonly broken: string[] = [];
+  readonly cancelledAt = new Map<string, number>();
+  types: MachineType[] = [box];
+  capacity = 10;
+  cloudDown = false;
+  rids = 1_000_000;
+  leaseMs = 16_000;
+  reportMs = 2000;
+  private later: { at: number; fn: () => void }[] = [];
+  private hosts = 0;
+
+  constructor(nodes = 1, operators: Partial<Operators> = {}) {
+    for (let i = 0; i < nodes; i++) {
+      const settings = parseSettings(settingsText(`n${i}`, nodes));
+      this.nodes.push(new Node(this, `n${i}`, settings, { ...defaults, ...operators }));
+    }
+  }
+
+  after(ms: number, fn: () => void): void {
+    this.later.push({ at: this.now + ms, fn });
+  }
+
+  addWorker(type: string, zone: string, spot: boolean): Worker {
+    const host = `n-${String(++this.hosts).padStart(6, '0')}`;
+    const w = new Worker(this, host, type, zone, spot);
+    this.workers.set(host, w);
+    return w;
+  }
+
+  noteStart(w: Worker, job: string, index: number, held: boolean): void {
+    const piece = `${job}/${index}`;
+    this.starts.push({ piece, host: w.host, at: this.now });
+    if (held) return;
+    for (const other of this.workers.values())
+      if (other !== w && other.holds(piece))
+        this.broken.push(`ran_twice ${piece} on ${w.host} and ${other.host}`);
+    const since = this.cancelledAt.get(job);
+    if (since !== undefined && this.now > since + 36_000) this.broken.push(`ran_cancelled ${piece}`);
+  }
+
+  /** Plays so many seconds, in steps of 10 ms. */
+  play(seconds: number): void {
+    const until = this.now + seconds * 1000;
+    while (this.now < until) {
+      this.now += 10;
+      const due = this.later.filter((l) => l.at <= this.now);
+      this.later = this.later.filter((l) => l.at > this.now);
+      for (const l of due) l.fn();
+      if (!this.state.down) this.state.expire();
+      else this.state.expire();
+      for (const w of this.workers.values()) w.step();
+      for (const n of this.nodes) n.step();
+      for (const [job, at] of this.cancelledAt)
+        if (this.now > at + 36_000)
+          for (const w of this.workers.values())
+            for (const piece of w.tasks.keys())
+              if (piece.startsWith(`${job}/`) && w.holds(piece))
+                this.broken.push(`ran_cancelled ${piece} stays`);
+    }
+  }
+
+  playUntil(what: () => boolean, withinS: number): boolean {
+    const until = this.now + withinS * 1000;
+    while (!what() && this.now < until) this.play(0.1);
+    return what();
+  }
+
+  running(job: string): { host: string; piece: string }[] {
+    const list: { host: string; piece: string }[] = [];
+    for (const w of this.workers.values())
+      for (const piece of w.tasks.keys())
+        if (piece.startsWith(`${job}/`) && w.holds(piece)) list.push({ host: w.host, piece });
+    return list;
+  }
+}
