--- a/src/config/operators.ts
+++ b/src/config/operators.ts
@@ -18,7 +18,7 @@
   /** Share of each machine's CPUs kept free in placement. */
   headroom: 0,
   /** Length of a placement round. */
-  'round-s': 10,
+  'round-s': 1,
   /** Hazard is counted per step of this length (the paper's step is its 5-minute round). */
   'hazard-step-s': 10,
   /** Hazard assumed before anything was seen, per machine-hour. */
