--- a/src/core/dispatcher.ts
+++ b/src/core/dispatcher.ts
@@ -608,7 +608,11 @@
     if (report.session < m.session || (report.session === m.session && report.seq <= m.seq)) return [];
     m.session = report.session;
     m.seq = report.seq;
-    if (proof) m.provenAt = now;
+    if (proof) {
+      // Guards against returning a machine for having been idle while it booted.
+      if (m.provenAt === 0 && m.placements.size === 0) m.idleSince = now;
+      m.provenAt = now;
+    }
     if (report.noticeS !== null && m.noticeAt === 0) this.onNotice(m, report.noticeS);
     const orders: Order[] = [];
     const listed = new Map<string, TaskReport>();
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -11,7 +11,7 @@
 import type { Clock, Effect, Log } from './effects.js';
 import { leadKey, machineKey, typesKey } from './keys.js';
 import { machineData, typesData, type JobRecord } from './records.js';
-import { anchorPrice, byOrder, candidate, fetchS, weights } from './placement.js';
+import { anchorPrice, inOrder, candidate, fetchS, weights } from './placement.js';
 import type { Machine, Replica } from './replica.js';
 
 interface Unmet {
@@ -400,9 +400,13 @@
       const waiting = job.tasks - c.done - c.running;
       if (waiting > 0 && job.spec) jobs.push({ ...job, spec: job.spec, waiting });
     }
-    jobs.sort(byOrder);
     const unmet: Unmet[] = [];
-    for (const job of jobs) {
+    // GPU work first: the GPU machines' room is counted as its own before other work may have the rest.
+    const ordered = inOrder(jobs, this.settings.objectives, this.clock.wall);
+    for (const job of [
+      ...ordered.filter((j) => j.spec.gpus > 0),
+      ...ordered.filter((j) => j.spec.gpus <= 0),
+    ]) {
       const { spec } = job;
       const shard = this.replica.shardOf(spec.team);
       const cap = teamCap(this.settings, spec.team);
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -4,6 +4,8 @@
 import { mayMove, moveBudget, spotAllowed, zoneOpen } from '../policy/guardrails.js';
 import { moveUrgency, order, score, type Candidate, type Weights } from '../policy/helios.js';
 import type { Dispatcher, JobRun, MachineRun } from './dispatcher.js';
+import type { Objective } from '../config/settings.js';
+import { lateness, limitsOf, slackS } from '../policy/deadlines.js';
 import type { Operators } from '../config/operators.js';
 
 export const weights = (o: Operators): Weights => ({
@@ -43,29 +45,66 @@
 export const fetchS = (spec: JobSpec, type: MachineType): number =>
   type.fetchGbPerS > 0 ? spec.imageGb / type.fetchGbPerS : 0;
 
-/** Placement order: urgency, then HELIOS's order, then the older job. */
-export function byOrder(a: { spec: JobSpec; at: number }, b: { spec: JobSpec; at: number }): number {
-  return (
-    urgencyRank[b.spec.urgency] - urgencyRank[a.spec.urgency] ||
-    order({ premium: isPremium(b.spec), cpus: b.spec.cpus }) -
-      order({ premium: isPremium(a.spec), cpus: a.spec.cpus }) ||
-    a.at - b.at
+/** What the placement order looks at. */
+export interface Queued {
+  spec: JobSpec;
+  at: number;
+}
+
+/** CPUs that differ by less than a factor of two count as alike, so that the limits decide between them. */
+const sizeClass = (spec: JobSpec): number =>
+  Math.floor(Math.log2(Math.max(order({ premium: isPremium(spec), cpus: spec.cpus }), 0.01)));
+
+/**
+ * Placement order: urgency, then work that can still be in time, then HELIOS's order, then the job whose limit
+ * comes first.
+ */
+export function inOrder<T extends Queued>(jobs: T[], objectives: Objective[], wall: number): T[] {
+  const keyed = jobs.map((job) => {
+    const limits = limitsOf(job.spec, objectives);
+    const ageS = (wall - job.at) / 1000;
+    const runS = job.spec.estimateS * estimateShare;
+    return {
+      job,
+      urgency: urgencyRank[job.spec.urgency],
+      late: lateness(limits, ageS, runS),
+      size: sizeClass(job.spec),
+      slack: slackS(limits, ageS, runS),
+    };
+  });
+  keyed.sort(
+    (a, b) =>
+      b.urgency - a.urgency ||
+      a.late - b.late ||
+      b.size - a.size ||
+      a.slack - b.slack ||
+      a.job.at - b.job.at ||
+      0,
   );
+  return keyed.map((k) => k.job);
 }
 
+/** Estimates are often wrong by half: a job counts as late only if even half of its estimate is too long. */
+const estimateShare = 0.5;
+
 /** One placement round over all shards of this node. */
 export function placeRound(d: Dispatcher): void {
   const now = d.clock.now;
-  const waiting = [...d.jobs.values()]
-    .filter((j) => !j.cancelled && !j.finishing && !j.breaking && j.notBefore <= now && d.waitingCount(j) > 0)
-    .sort(byOrder);
+  const waiting = inOrder(
+    [...d.jobs.values()].filter(
+      (j) => !j.cancelled && !j.finishing && !j.breaking && j.notBefore <= now && d.waitingCount(j) > 0,
+    ),
+    d.settings.objectives,
+    d.clock.wall,
+  );
+  const keep = gpuShare(waiting);
   // Machines kept for a gang that found no room: nothing of lower order goes there.
   const reserved = new Set<string>();
   for (const job of waiting) {
     const machines = eligible(d, job).filter((m) => !reserved.has(m.host));
     if (job.spec.shape === 'gang') {
-      if (!placeGang(d, job, machines)) reserve(d, job, machines, reserved);
-    } else placeEach(d, job, machines);
+      if (!placeGang(d, job, machines, keep)) reserve(d, job, machines, reserved);
+    } else placeEach(d, job, machines, keep);
   }
   moveOff(d);
 }
@@ -100,7 +139,43 @@
   memGb: m.type.memGb - m.used.memGb,
 });
 
-function placeEach(d: Dispatcher, job: JobRun, machines: MachineRun[]): void {
+/** What waiting GPU work needs beside each GPU. */
+export interface GpuShare {
+  cpus: number;
+  memGb: number;
+  gpus: number;
+  urgency: number;
+}
+
+/** The largest share per GPU that any waiting GPU task takes; null: none waits. */
+export function gpuShare(waiting: Queued[]): GpuShare | null {
+  let share: GpuShare | null = null;
+  for (const { spec } of waiting) {
+    if (spec.gpus <= 0) continue;
+    share ??= { cpus: 0, memGb: 0, gpus: 1, urgency: 0 };
+    share.cpus = Math.max(share.cpus, spec.cpus / spec.gpus);
+    share.memGb = Math.max(share.memGb, spec.memGb / spec.gpus);
+    share.urgency = Math.max(share.urgency, urgencyRank[spec.urgency]);
+  }
+  return share;
+}
+
+/**
+ * A guardrail of ours: while GPU work waits, work without GPUs leaves it what it needs beside the free GPUs.
+ * Otherwise small CPU tasks fill the GPU machines and the GPUs stand idle. Premium work of higher urgency
+ * is exempt.
+ */
+export function keptRoom(spec: JobSpec, room: Fits, keep: GpuShare | null): Fits {
+  if (keep === null || spec.gpus > 0 || room.gpus <= 0) return room;
+  if (isPremium(spec) && urgencyRank[spec.urgency] > keep.urgency) return room;
+  return {
+    cpus: room.cpus - room.gpus * keep.cpus,
+    gpus: room.gpus,
+    memGb: room.memGb - room.gpus * keep.memGb,
+  };
+}
+
+function placeEach(d: Dispatcher, job: JobRun, machines: MachineRun[], keep: GpuShare | null): void {
   const { spec } = job;
   let left = Math.min(d.waitingCount(job), timesFits(spec, d.teamRoom(spec.team)));
   // A job that only ever failed is tried one task at a time.
@@ -108,7 +183,7 @@
   const at: { index: number; host: string }[] = [];
   const taken = new Map(job.zones);
   for (const m of machines) {
-    let n = Math.min(left - at.length, timesFits(spec, roomOf(d, m)));
+    let n = Math.min(left - at.length, timesFits(spec, keptRoom(spec, roomOf(d, m), keep)));
     for (; n > 0 && zoneOpen(spec, m.record.zone, taken); n--) {
       const index = d.nextWaiting(job);
       if (index < 0) break;
@@ -121,7 +196,7 @@
 }
 
 /** A gang is placed whole in one round or not at all. */
-function placeGang(d: Dispatcher, job: JobRun, machines: MachineRun[]): boolean {
+function placeGang(d: Dispatcher, job: JobRun, machines: MachineRun[], keep: GpuShare | null): boolean {
   const { spec } = job;
   const need = d.waitingCount(job);
   // Tasks of an earlier attempt hold their machines and zones until they are proven gone.
@@ -133,7 +208,7 @@
     const taken = new Map<string, number>();
     for (const m of machines) {
       if (zone !== null && m.record.zone !== zone) continue;
-      const room = timesFits(spec, roomOf(d, m));
+      const room = timesFits(spec, keptRoom(spec, roomOf(d, m), keep));
       for (let i = 0; i < room && hosts.length < need && zoneOpen(spec, m.record.zone, taken); i++) {
         hosts.push(m.host);
         taken.set(m.record.zone, (taken.get(m.record.zone) ?? 0) + 1);
--- /dev/null
+++ b/src/policy/deadlines.ts
@@ -0,0 +1,44 @@
+import type { Objective } from '../config/settings.js';
+import type { JobSpec } from '../model/job.js';
+
+/**
+ * The moments a job's owner or the operators' objectives set for it, in seconds after its submission: by when
+ * all of it should be done (its deadline, and that times a factor), or started.
+ */
+export interface Limits {
+  done: number[];
+  started: number[];
+}
+
+export function limitsOf(spec: JobSpec, objectives: Objective[]): Limits {
+  const done = new Set<number>();
+  const started = new Set<number>();
+  if (spec.deadlineS !== null) done.add(spec.deadlineS);
+  for (const o of objectives) {
+    if (o.class !== spec.class) continue;
+    if (o.kind === 'deadline' && spec.deadlineS !== null) done.add(spec.deadlineS * o.times);
+    if (o.kind === 'finished' && o.within_s !== undefined) done.add(o.within_s);
+    if (o.kind === 'wait' && o.within_s !== undefined) started.add(o.within_s);
+  }
+  const sorted = (s: Set<number>) => [...s].sort((a, b) => a - b);
+  return { done: sorted(done), started: sorted(started) };
+}
+
+/**
+ * How many of its limits a job can no longer keep. Work that can still be in time goes before work that is
+ * late already: otherwise, in an overload, every job waits behind those that nothing can save any more.
+ */
+export function lateness(limits: Limits, ageS: number, runS: number): number {
+  let missed = 0;
+  for (const l of limits.done) if (ageS + runS > l) missed++;
+  for (const l of limits.started) if (ageS > l) missed++;
+  return missed;
+}
+
+/** Time left until the next limit that can still be kept, for starting the last task; Infinity: none. */
+export function slackS(limits: Limits, ageS: number, runS: number): number {
+  const left = [...limits.done.map((l) => l - runS - ageS), ...limits.started.map((l) => l - ageS)].filter(
+    (x) => x >= 0,
+  );
+  return left.length > 0 ? Math.min(...left) : Infinity;
+}
