--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -4,6 +4,7 @@
 import { fits, timesFits, type Fits, type MachineRecord, type MachineType } from '../model/machine.js';
 import type { Report } from '../model/report.js';
 import { teamCap, typeAllowed } from '../policy/admission.js';
+import { limitsOf, slackS } from '../policy/deadlines.js';
 import { spotAllowed } from '../policy/guardrails.js';
 import { score } from '../policy/helios.js';
 import type { ListedMachine, RentRequest } from '../wire/cloud.js';
@@ -11,7 +12,7 @@
 import type { Clock, Effect, Log } from './effects.js';
 import { leadKey, machineKey, typesKey } from './keys.js';
 import { machineData, typesData, type JobRecord } from './records.js';
-import { anchorPrice, inOrder, candidate, fetchS, weights } from './placement.js';
+import { anchorPrice, candidate, fetchS, gpuMachineOpen, inOrder, weights } from './placement.js';
 import type { Machine, Replica } from './replica.js';
 
 interface Unmet {
@@ -20,9 +21,17 @@
   count: number;
   /** The zones it may be met in; null: any. */
   zones: string[] | null;
+  /** Time left for it to start, s. */
+  slack: number;
 }
 
 interface Room extends Fits {
+  /** Free only later, as running tasks end. */
+  busy: Fits;
+  /** How long the tasks on it run, on average, by their estimates. */
+  runS: number;
+  tasks: number;
+  gpuBusy: boolean;
   host: string;
   type: MachineType;
   zone: string;
@@ -30,6 +39,8 @@
 }
 
 const mostPerRent = 50;
+/** Share of the slack in which running tasks may be waited for instead of renting. */
+const slackShare = 0.6;
 const mostPerDelete = 100;
 
 /**
@@ -345,6 +356,10 @@
       rooms.get(shard)!.push(room);
     };
     const roomOf = (host: string, type: MachineType, zone: string, spot: boolean): Room => ({
+      busy: { cpus: 0, gpus: 0, memGb: 0 },
+      runS: 0,
+      tasks: 0,
+      gpuBusy: false,
       host,
       type,
       zone,
@@ -368,12 +383,19 @@
       for (let i = 0; i < request.count; i++)
         add(shard, roomOf('', types.get(request.type)!, request.zone, request.spot));
     for (const [id, chunks] of this.replica.chunks) {
-      const need = this.replica.jobs.get(id)?.spec ?? this.replica.jobs.get(id)?.use;
+      const job = this.replica.jobs.get(id);
+      const need = job?.spec ?? job?.use;
       if (!need) continue;
+      const runS = job?.spec ? (job.spec.shape === 'service' ? Infinity : job.spec.estimateS) : 0;
       for (const c of chunks.values())
         for (const p of c.placed) {
           const room = byHost.get(p.host);
-          if (room) take(room, need, 1);
+          if (!room) continue;
+          take(room, need, 1);
+          take(room.busy, need, -1);
+          room.runS = (room.runS * room.tasks + runS) / (room.tasks + 1);
+          room.tasks++;
+          if (need.gpus > 0) room.gpuBusy = true;
         }
     }
     return { rooms, free };
@@ -423,16 +445,22 @@
       used.gpus += left * spec.gpus;
       for (const part of this.zoneParts(job, left, rooms.get(shard) ?? [])) {
         let want = part.count;
-        for (const room of rooms.get(shard) ?? []) {
+        const here = (rooms.get(shard) ?? []).filter(
+          (r) =>
+            this.mayUse(spec, r.type, r.zone, r.spot) &&
+            (part.zones === null || part.zones.includes(r.zone)) &&
+            gpuMachineOpen(spec, r.type, r.gpuBusy),
+        );
+        for (const room of here) {
           if (want <= 0) break;
-          if (!this.mayUse(spec, room.type, room.zone, room.spot)) continue;
-          if (part.zones !== null && !part.zones.includes(room.zone)) continue;
           const n = Math.min(want, timesFits(spec, room));
+          if (n <= 0) continue;
           take(room, spec, n);
+          if (spec.gpus > 0) room.gpuBusy = true;
           want -= n;
         }
-        if (want > 0)
-          unmet.push({ spec, shard, count: Math.ceil(want / this.waves(job)), zones: part.zones });
+        want -= this.soon(job, want, here);
+        if (want > 0) unmet.push({ spec, shard, count: want, zones: part.zones, slack: this.slack(job) });
       }
     }
     return unmet;
@@ -496,18 +524,32 @@
     return this.clock.now - at > this.refusalMs(type.name);
   }
 
-  /** In how many waves a job's tasks may run one after the other and still be in time. */
-  private waves(job: JobRecord & { spec: JobSpec }): number {
+  /** Time left for a job's last task to start and still be in time; for late or limitless work, its run time. */
+  private slack(job: JobRecord & { spec: JobSpec }): number {
+    const limits = limitsOf(job.spec, this.settings.objectives);
+    const left = slackS(limits, (this.clock.wall - job.at) / 1000, job.spec.estimateS);
+    return Number.isFinite(left) ? left : Math.max(job.spec.estimateS, 1);
+  }
+
+  /**
+   * How many of a job's tasks need no further machine because running tasks will make room in time. Part of
+   * the slack is kept for the image, for estimates that are too low, and for others who want the same room.
+   */
+  private soon(job: JobRecord & { spec: JobSpec }, want: number, rooms: Room[]): number {
     const { spec } = job;
-    if (isPremium(spec) || spec.estimateS <= 0) return 1;
-    let limit = spec.deadlineS ?? Infinity;
-    for (const o of this.settings.objectives)
-      if (o.kind === 'finished' && o.class === spec.class && o.within_s !== undefined)
-        limit = Math.min(limit, o.within_s);
-    if (!Number.isFinite(limit)) limit = spec.estimateS * 4;
-    const left = limit - (this.clock.wall - job.at) / 1000;
-    const boot = Math.min(...this.replica.types.map((t) => t.bootS));
-    return Math.max(1, Math.min(4, Math.floor((left - boot) / (spec.estimateS * 1.5))));
+    const slack = this.slack(job) * slackShare;
+    let served = 0;
+    for (const r of rooms) {
+      if (served >= want) break;
+      const fetch = fetchS(spec, r.type);
+      const share = Math.min(1, Math.max(0, slack - fetch) / Math.max(r.runS, 1));
+      // Whole tasks only: a gang of large tasks must not count on crumbs.
+      const n = Math.min(want - served, Math.floor(timesFits(spec, r.busy) * share));
+      if (n <= 0) continue;
+      take(r.busy, spec, n);
+      served += n;
+    }
+    return served;
   }
 
   private refusalMs(type: string): number {
@@ -524,12 +566,21 @@
     let anchor = anchorPrice(spec, this.replica.types, (t) => t.zones.some((z) => open(t, z, false)));
     if (!Number.isFinite(anchor)) anchor = anchorPrice(spec, this.replica.types, () => true);
     const options: { type: MachineType; zone: string; spot: boolean; s: number }[] = [];
+    // The dearest machines are not rented for work that others can do, unless it is premium, in a hurry, and
+    // nothing else is to be had.
+    const plain = this.replica.types.filter((t) => t.gpus <= 0 && typeAllowed(spec, t));
+    const obtainable = plain.some((t) => t.zones.some((z) => open(t, z, false) || open(t, z, true)));
+    const gpuToo =
+      spec.gpus > 0 ||
+      plain.length === 0 ||
+      (isPremium(spec) && !obtainable && u.slack < Math.min(...plain.map((t) => t.bootS + fetchS(spec, t))));
     const perZone = new Map<string, number>();
     for (const m of this.replica.machines.values()) perZone.set(m.zone, (perZone.get(m.zone) ?? 0) + 1);
     for (const type of this.replica.types)
       for (const zone of type.zones)
         for (const spot of [false, true]) {
           if (!this.mayUse(spec, type, zone, spot) || !open(type, zone, spot)) continue;
+          if (type.gpus > 0 && !gpuToo) continue;
           const per = timesFits(spec, type);
           if (per < 1 || !fits(spec, type)) continue;
           // Only the CPUs that the tasks will use bring something: the price is for those.
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -127,8 +127,10 @@
     if (m.record.spot && !spotAllowed(spec)) continue;
     const delayS = m.images.has(spec.image) ? 0 : fetchS(spec, m.type);
     const room = roomOf(d, m);
+    if (!gpuMachineOpen(spec, m.type, room.gpus < m.type.gpus)) continue;
     const c = candidate(m.type, m.record.spot, hazard, m.placements.size === 0, room.cpus, delayS);
-    scored.push({ m, s: score(work, c, anchor, w) });
+    // Fuller machines first, so that the others run empty and can be returned.
+    scored.push({ m, s: score(work, c, anchor, w) + packing * (1 - room.cpus / m.type.cpus) });
   }
   return scored.sort((a, b) => b.s - a.s).map((x) => x.m);
 }
@@ -139,6 +141,16 @@
   memGb: m.type.memGb - m.used.memGb,
 });
 
+/** Tie-break among machines of like score; far below any price difference that matters. */
+const packing = 1e-4;
+
+/**
+ * A guardrail of ours: work without GPUs goes to a GPU machine only as company for GPU tasks. Alone it would
+ * keep the dearest machines rented for work that cheaper ones can do.
+ */
+export const gpuMachineOpen = (spec: JobSpec, type: MachineType, gpuBusy: boolean): boolean =>
+  spec.gpus > 0 || type.gpus <= 0 || gpuBusy;
+
 /** What waiting GPU work needs beside each GPU. */
 export interface GpuShare {
   cpus: number;
