Preempt for urgent work; pack GPU machines; rent dear machines only where they help

Cause: urgent gangs waited behind normal tasks on the only machines they fit; GPU tasks spread over all GPU machines and kept them rented; machines were rented for jobs they would come too late for.

--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -31,7 +31,6 @@
   /** How long the tasks on it run, on average, by their estimates. */
   runS: number;
   tasks: number;
-  gpuBusy: boolean;
   host: string;
   type: MachineType;
   zone: string;
@@ -39,8 +38,8 @@
 }
 
 const mostPerRent = 50;
-/** Share of the slack in which running tasks may be waited for instead of renting. */
-const slackShare = 0.6;
+/** Share of the slack in which running tasks may be waited for instead of renting a very dear machine. */
+const mostSlackShare = 0.6;
 const mostPerDelete = 100;
 
 /**
@@ -359,7 +358,6 @@
       busy: { cpus: 0, gpus: 0, memGb: 0 },
       runS: 0,
       tasks: 0,
-      gpuBusy: false,
       host,
       type,
       zone,
@@ -395,7 +393,6 @@
           take(room.busy, need, -1);
           room.runS = (room.runS * room.tasks + runS) / (room.tasks + 1);
           room.tasks++;
-          if (need.gpus > 0) room.gpuBusy = true;
         }
     }
     return { rooms, free };
@@ -449,17 +446,26 @@
           (r) =>
             this.mayUse(spec, r.type, r.zone, r.spot) &&
             (part.zones === null || part.zones.includes(r.zone)) &&
-            gpuMachineOpen(spec, r.type, r.gpuBusy),
+            gpuMachineOpen(spec, r.type, r.type.gpus - r.gpus),
         );
         for (const room of here) {
           if (want <= 0) break;
           const n = Math.min(want, timesFits(spec, room));
           if (n <= 0) continue;
           take(room, spec, n);
-          if (spec.gpus > 0) room.gpuBusy = true;
           want -= n;
         }
         want -= this.soon(job, want, here);
+        // The placement keeps the emptiest machines for a gang that finds no room; others must not count on them.
+        if (want > 0 && spec.shape === 'gang') {
+          const busiest = here
+            .filter((r) => r.tasks > 0)
+            .sort((a, b) => b.cpus / b.type.cpus - a.cpus / a.type.cpus);
+          for (let i = 0, n = want; n > 0 && i < busiest.length; i++) {
+            n -= Math.max(1, timesFits(spec, busiest[i].type));
+            busiest[i].cpus = 0;
+          }
+        }
         if (want > 0) unmet.push({ spec, shard, count: want, zones: part.zones, slack: this.slack(job) });
       }
     }
@@ -524,11 +530,19 @@
     return this.clock.now - at > this.refusalMs(type.name);
   }
 
-  /** Time left for a job's last task to start and still be in time; for late or limitless work, its run time. */
+  /**
+   * Time left for a job's last task to start and still be in time; for limitless work, its run time. Infinity:
+   * a machine rented now would come too late for it, so it may as well wait for those that are there.
+   */
   private slack(job: JobRecord & { spec: JobSpec }): number {
-    const limits = limitsOf(job.spec, this.settings.objectives);
-    const left = slackS(limits, (this.clock.wall - job.at) / 1000, job.spec.estimateS);
-    return Number.isFinite(left) ? left : Math.max(job.spec.estimateS, 1);
+    const { spec } = job;
+    const limits = limitsOf(spec, this.settings.objectives);
+    const left = slackS(limits, (this.clock.wall - job.at) / 1000, spec.estimateS);
+    if (limits.done.length + limits.started.length === 0) return Math.max(spec.estimateS, 1);
+    const reach = this.replica.types
+      .filter((t) => typeAllowed(spec, t))
+      .map((t) => t.bootS + fetchS(spec, t));
+    return Number.isFinite(left) && left >= Math.min(...reach) ? left : Infinity;
   }
 
   /**
@@ -537,7 +551,12 @@
    */
   private soon(job: JobRecord & { spec: JobSpec }, want: number, rooms: Room[]): number {
     const { spec } = job;
-    const slack = this.slack(job) * slackShare;
+    // The dearer the machine it takes, the longer running tasks are waited for.
+    const perCpu = (t: MachineType) => t.price / Math.max(t.cpus, 1);
+    const cheapest = Math.min(...this.replica.types.map(perCpu));
+    const here = anchorPrice(spec, this.replica.types, () => true);
+    const patience = mostSlackShare * (1 - cheapest / here);
+    const slack = patience > 0 ? this.slack(job) * patience : 0;
     let served = 0;
     for (const r of rooms) {
       if (served >= want) break;
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -3,7 +3,7 @@
 import { typeAllowed } from '../policy/admission.js';
 import { mayMove, moveBudget, spotAllowed, zoneOpen } from '../policy/guardrails.js';
 import { moveUrgency, order, score, type Candidate, type Weights } from '../policy/helios.js';
-import type { Dispatcher, JobRun, MachineRun } from './dispatcher.js';
+import type { Dispatcher, JobRun, MachineRun, Placement } from './dispatcher.js';
 import type { Objective } from '../config/settings.js';
 import { lateness, limitsOf, slackS } from '../policy/deadlines.js';
 import type { Operators } from '../config/operators.js';
@@ -103,8 +103,10 @@
   for (const job of waiting) {
     const machines = eligible(d, job).filter((m) => !reserved.has(m.host));
     if (job.spec.shape === 'gang') {
-      if (!placeGang(d, job, machines, keep)) reserve(d, job, machines, reserved);
+      if (placeGang(d, job, machines, keep)) continue;
+      reserve(d, job, machines, reserved);
     } else placeEach(d, job, machines, keep);
+    if (d.waitingCount(job) > 0 && job.active.size === 0) preempt(d, job, machines, reserved);
   }
   moveOff(d);
 }
@@ -127,10 +129,10 @@
     if (m.record.spot && !spotAllowed(spec)) continue;
     const delayS = m.images.has(spec.image) ? 0 : fetchS(spec, m.type);
     const room = roomOf(d, m);
-    if (!gpuMachineOpen(spec, m.type, room.gpus < m.type.gpus)) continue;
+    if (!gpuMachineOpen(spec, m.type, m.type.gpus - room.gpus)) continue;
     const c = candidate(m.type, m.record.spot, hazard, m.placements.size === 0, room.cpus, delayS);
     // Fuller machines first, so that the others run empty and can be returned.
-    scored.push({ m, s: score(work, c, anchor, w) + packing * (1 - room.cpus / m.type.cpus) });
+    scored.push({ m, s: score(work, c, anchor, w) + packing * fullness(m.type, room) });
   }
   return scored.sort((a, b) => b.s - a.s).map((x) => x.m);
 }
@@ -144,12 +146,16 @@
 /** Tie-break among machines of like score; far below any price difference that matters. */
 const packing = 1e-4;
 
+/** How full a machine is, by what is scarcest on it. */
+const fullness = (type: MachineType, room: Fits): number =>
+  type.gpus > 0 ? 1 - room.gpus / type.gpus : 1 - room.cpus / type.cpus;
+
 /**
  * A guardrail of ours: work without GPUs goes to a GPU machine only as company for GPU tasks. Alone it would
  * keep the dearest machines rented for work that cheaper ones can do.
  */
-export const gpuMachineOpen = (spec: JobSpec, type: MachineType, gpuBusy: boolean): boolean =>
-  spec.gpus > 0 || type.gpus <= 0 || gpuBusy;
+export const gpuMachineOpen = (spec: JobSpec, type: MachineType, gpusBusy: number): boolean =>
+  spec.gpus > 0 || type.gpus <= 0 || gpusBusy > 0;
 
 /** What waiting GPU work needs beside each GPU. */
 export interface GpuShare {
@@ -253,6 +259,79 @@
   }
 }
 
+/** Whether a waiting job may have a running task stopped (the protocol's "Preemption"). */
+function mayStop(d: Dispatcher, job: JobRun, victim: Placement, entitled: boolean): boolean {
+  if (urgencyRank[victim.job.spec.urgency] < urgencyRank[job.spec.urgency]) return true;
+  if (!entitled || victim.job.spec.team === job.spec.team) return false;
+  const theirs = d.settings.teams.find((t) => t.name === victim.job.spec.team);
+  const use = d.teamUse.get(victim.job.spec.team);
+  return use !== undefined && (use.cpus > (theirs?.cpus ?? 0) || use.gpus > (theirs?.gpus ?? 0));
+}
+
+/** True if the job fits into what is left of its team's guarantee. */
+function withinGuarantee(d: Dispatcher, job: JobRun): boolean {
+  const own = d.settings.teams.find((t) => t.name === job.spec.team);
+  const use = d.teamUse.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
+  const n = d.waitingCount(job);
+  return (
+    own !== undefined &&
+    own.cpus > 0 &&
+    use.cpus + n * job.spec.cpus <= own.cpus &&
+    use.gpus + n * job.spec.gpus <= own.gpus
+  );
+}
+
+/**
+ * Makes room for a job that neither a free place nor a machine rented now would serve in time, by stopping
+ * the tasks that lose least. Machines where room is being made are kept for it.
+ */
+function preempt(d: Dispatcher, job: JobRun, machines: MachineRun[], reserved: Set<string>): void {
+  const { spec } = job;
+  const now = d.clock.now;
+  const limits = limitsOf(spec, d.settings.objectives);
+  const ageS = (d.clock.wall - job.at) / 1000;
+  const slack = slackS(limits, ageS, spec.estimateS);
+  const entitled = withinGuarantee(d, job);
+  let need = d.waitingCount(job);
+  if (spec.shape !== 'gang') need = Math.min(need, 1);
+  if (timesFits(spec, d.teamRoom(spec.team)) < need || machines.length === 0) return;
+  const bootS = Math.min(...machines.map((m) => m.type.bootS + fetchS(spec, m.type)));
+  const hurry = Number.isFinite(slack) ? slack : 2 * bootS - ageS;
+  if (hurry > bootS + 2 * d.settings.workers.report_s) return;
+  const plans: { m: MachineRun; victims: Placement[]; lost: number }[] = [];
+  for (const m of machines) {
+    if (!fits(spec, m.type)) continue;
+    const room = roomOf(d, m);
+    const victims: Placement[] = [];
+    let lost = 0;
+    const all = [...m.placements.values()].filter((p) => p.stop !== null || mayStop(d, job, p, entitled));
+    const loss = (p: Placement): number =>
+      p.stop !== null || p.ranAt === 0 ? 0 : ((now - p.ranAt) / 1000) * Math.max(p.job.spec.cpus, 0.1);
+    all.sort((a, b) => loss(a) - loss(b));
+    for (const p of all) {
+      if (fits(spec, room)) break;
+      // A gang stops as a whole; that loses more than the room is worth.
+      if (p.stop === null && p.job.spec.shape === 'gang') continue;
+      room.cpus += p.job.spec.cpus;
+      room.gpus += p.job.spec.gpus;
+      room.memGb += p.job.spec.memGb;
+      victims.push(p);
+      lost += loss(p);
+    }
+    if (fits(spec, room)) plans.push({ m, victims, lost });
+  }
+  plans.sort((a, b) => a.lost - b.lost);
+  if (plans.length < need) return;
+  for (const plan of plans.slice(0, need)) {
+    reserved.add(plan.m.host);
+    for (const p of plan.victims)
+      if (p.stop === null) {
+        d.log('info', 'preempting', { job: p.job.id, index: p.index, host: p.host, for: job.id });
+        p.stop = { graceS: p.job.spec.saveS, since: now };
+      }
+  }
+}
+
 /**
  * Moves tasks off spot machines that cost more than on-demand ones, hazard included. Guardrails: a budget
  * per window, residency, only tasks that save, and only when there is a place to go.
