Fix: a task could be handed out twice in one round after a takeover

The log shows two placements of a task with no end of the first between them: the task was among the retries and ahead of the pointer to tasks never placed, which a takeover sets back to the start. Ruled out: stale owner (one owner throughout), a chunk rewritten by another writer (no such warning). Change: retries hold only tasks behind the pointer; placing a placed task is an error.

--- a/src/core/dispatcher.ts
+++ b/src/core/dispatcher.ts
@@ -67,7 +67,7 @@
   active: Map<number, Placement>;
   /** Tasks that wait for a place: those never placed from `fresh` on, and those to be placed again. */
   fresh: number;
-  retry: number[];
+  retry: Set<number>;
   done: number;
   zones: Map<string, number>;
   finishing: boolean;
@@ -218,7 +218,7 @@
       chunks: [],
       active: new Map(),
       fresh: 0,
-      retry: [],
+      retry: new Set(),
       done: 0,
       zones: new Map(),
       finishing: false,
@@ -360,6 +360,7 @@
     const chunks = new Set(at.map((a) => this.chunkOf(job, a.index)));
     for (const c of chunks) c.version++;
     for (const a of at) {
+      if (job.active.has(a.index)) throw new Error(`${pieceName(job.id, a.index)} is placed already`);
       const chunk = this.chunkOf(job, a.index);
       if (attempt !== undefined) chunk.last = Math.max(chunk.last, attempt);
       this.enter(job, chunk, { index: a.index, attempt: attempt ?? ++chunk.last, host: a.host }, true);
@@ -373,10 +374,9 @@
 
   /** The next task that waits for a place, or -1. */
   nextWaiting(job: JobRun): number {
-    // Guards against placing twice: after a takeover a task may be both among the retries and ahead of `fresh`.
     const waits = (i: number) => !job.active.has(i) && !this.isDone(job, i);
-    while (job.retry.length > 0) {
-      const i = job.retry.pop()!;
+    for (const i of job.retry) {
+      job.retry.delete(i);
       if (waits(i)) return i;
     }
     while (job.fresh < job.spec.tasks) {
@@ -418,7 +418,9 @@
       }
       if (job.done >= job.spec.tasks && job.spec.shape !== 'service' && !job.cancelled) this.finish(job);
     } else if (!job.cancelled) {
-      job.retry.push(p.index);
+      // Guards against handing a task out twice in one round: ahead of `fresh` it is found there, and after a
+      // takeover `fresh` starts anew.
+      if (p.index < job.fresh) job.retry.add(p.index);
       if (job.spec.shape === 'gang') this.checkGang(job, p);
     }
     this.checkCancelled(job);
