--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -10,6 +10,10 @@
 import { Membership } from './membership.js';
 import { Replica } from './replica.js';
 
+const mostRelays = 200;
+/** Workers wait 4 s for an answer. */
+const relayMs = 2000;
+
 /**
  * The one owner of all state of a process. Commands go in by batches, effects come out; given the same
  * commands and clock readings, the effects are the same.
@@ -60,6 +64,11 @@
     this.fleet.hazardPerStep = () => this.dispatcher.hazard.perStep(operators['hazard-step-s']);
   }
 
+  /** Workers that were sent on to their owner, and when, ms. */
+  private readonly redirected = new Map<string, number>();
+  /** Reports handed on to their owner, by request, and when, ms. */
+  private readonly relays = new Map<number, number>();
+
   get healthy(): boolean {
     return this.replica.epoch >= 0;
   }
@@ -79,7 +88,12 @@
       this.fleet.reset();
     }
     if (leading) this.fleet.tick(out);
-    this.dispatcher.tick();
+    this.dispatcher.tick(out);
+    for (const [rid, at] of this.relays)
+      if (clock.now - at > relayMs) {
+        this.relays.delete(rid);
+        out.push({ e: 'answer', rid, status: 503, body: {} });
+      }
     this.desk.pump(out);
     this.committer.pump(clock.now, out);
     // Also without requests the view's age must be known: workers are answered only from a fresh one.
@@ -123,7 +137,14 @@
         this.desk.withdraw(c.rid, c.id, out);
         break;
       case 'checkin':
-        this.checkin(c.rid, c.report, out);
+        this.checkin(c.rid, c.report, c.from ?? null, out);
+        break;
+      case 'relayed':
+        this.relays.delete(c.rid);
+        out.push({ e: 'answer', rid: c.rid, status: c.status, body: c.body });
+        break;
+      case 'pulse':
+        if (c.epoch > this.replica.epoch) out.push({ e: 'catch-up', epoch: c.epoch });
         break;
       case 'loaded':
         this.replica.load(c.items, c.epoch);
@@ -135,6 +156,8 @@
         break;
       case 'committed':
         this.committer.outcome(c.outcome, this.clock.now, out);
+        // The others need not wait for their next watch.
+        if (c.outcome.r === 'ok') out.push({ e: 'pulse', epoch: c.outcome.epoch });
         break;
       case 'epoch':
         if (c.epoch !== null) this.readings.push({ sentAt: c.sentAt, epoch: c.epoch });
@@ -161,7 +184,7 @@
     }
   }
 
-  private checkin(rid: number, report: Report, out: Effect[]): void {
+  private checkin(rid: number, report: Report, from: string | null, out: Effect[]): void {
     const answer = (status: number, body: object, retryAfterS?: number) =>
       void out.push({ e: 'answer', rid, status, body, retryAfterS });
     // Guards against acting on an old view: a cancellation seen by users could be missed here, and the
@@ -182,8 +205,20 @@
         custodian !== null &&
         custodian.member !== member &&
         this.replica.isAlive(custodian.member, custodian.run);
+      // A worker that was sent there and is here again cannot reach the owner: its report goes through us, so
+      // that a cut between two zones does not cost its lease.
+      const sentAt = this.redirected.get(report.host) ?? -Infinity;
+      const lease = this.settings.workers.lease_s * 1000;
+      if (there && from === null && this.clock.now - sentAt < lease && this.relays.size < mostRelays) {
+        this.redirected.set(report.host, this.clock.now);
+        this.relays.set(rid, this.clock.now);
+        out.push({ e: 'relay', to: custodian.member, rid, report });
+        return;
+      }
+      if (there) this.redirected.set(report.host, this.clock.now);
       return answer(421, redirectOut(there ? custodian.member : null));
     }
+    this.redirected.delete(report.host);
     // Somebody came under a newer token: we are the stale owner and do not know it yet.
     if (report.token > custodian.token) return answer(421, redirectOut(null));
     if (m.shard < 0) {
--- a/src/core/dispatcher.ts
+++ b/src/core/dispatcher.ts
@@ -6,7 +6,7 @@
 import { teamCap } from '../policy/admission.js';
 import { HazardEstimate } from '../policy/hazard.js';
 import { Rank, type Committer } from './committer.js';
-import type { Clock, Log } from './effects.js';
+import type { Clock, Effect, Log } from './effects.js';
 import { chunkKey, jobKey, machineKey, shardKey } from './keys.js';
 import { placeRound } from './placement.js';
 import {
@@ -38,7 +38,7 @@
   ranAt: number;
   placedAt: number;
   /** Wanted off its machine, with this much time to save. */
-  stop: { graceS: number; since: number } | null;
+  stop: { graceS: number; since: number; sent?: boolean } | null;
 }
 
 export interface Chunk {
@@ -739,9 +739,34 @@
     } else m.avoidUntil = now + this.settings.workers.report_s * 4000;
   }
 
+  /**
+   * Stops that a worker has not been told yet, to be sent straight to it: a cancelled task is of no use to
+   * anybody, and a gang's tasks must hear of an orderly stop at about the same time.
+   */
+  private sendStops(out: Effect[]): void {
+    for (const m of this.machines.values()) {
+      if (m.endpoint === '' || m.provenAt === 0) continue;
+      const orders: Order[] = [];
+      for (const p of m.placements.values()) {
+        if (!p.stop || p.stop.sent || (p.sent === null && p.phase === 'placed')) continue;
+        p.stop.sent = true;
+        orders.push({ op: 'stop', job: p.job.id, index: p.index, attempt: p.attempt, graceS: p.stop.graceS });
+      }
+      if (orders.length > 0)
+        out.push({
+          e: 'order',
+          host: m.host,
+          endpoint: m.endpoint,
+          token: m.token,
+          session: m.session,
+          orders: orders.slice(0, ordersPerAnswer),
+        });
+    }
+  }
+
   // ---- time ----
 
-  tick(): void {
+  tick(out: Effect[]): void {
     const now = this.clock.now;
     this.unblock();
     this.retryFinish();
@@ -753,6 +778,7 @@
       this.lastRound = now;
       placeRound(this);
     }
+    this.sendStops(out);
   }
 
   /** Machines that fell silent, never came up, stand idle or are given up. */
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -10,7 +10,9 @@
   | { c: 'submit'; rid: number; spec: JobSpec }
   | { c: 'query'; rid: number; id: string }
   | { c: 'withdraw'; rid: number; id: string }
-  | { c: 'checkin'; rid: number; report: Report }
+  | { c: 'checkin'; rid: number; report: Report; from?: string }
+  | { c: 'relayed'; rid: number; status: number; body: object }
+  | { c: 'pulse'; epoch: number }
   | { c: 'ordered'; host: string; report: Report | null }
   | { c: 'loaded'; items: Change[]; epoch: number }
   | { c: 'changes'; changes: Change[]; epoch: number }
@@ -40,6 +42,9 @@
   | { e: 'commit'; txn: Txn }
   | { e: 'epoch' }
   | { e: 'catch-up'; epoch: number }
+  /** Hand a worker's report to the controller that owns its machine; its answer comes as 'relayed'. */
+  | { e: 'relay'; to: string; rid: number; report: Report }
+  | { e: 'pulse'; epoch: number }
   | { e: 'lease'; ttlMs: number }
   | { e: 'renew'; hold: number }
   | { e: 'unlease'; hold: number }
--- a/src/net/client.ts
+++ b/src/net/client.ts
@@ -8,14 +8,69 @@
 
 const mostBytes = 64 * 1024 * 1024;
 
-/** A small JSON client for one server: connections kept open, and a time limit on everything. */
+/**
+ * One JSON request with a time limit on everything. null: no usable answer came; whether the request was
+ * carried out is unknown.
+ */
+export function callOnce(
+  agent: Agent,
+  addr: string,
+  method: string,
+  path: string,
+  body: object | null,
+  timeoutMs: number,
+): Promise<Reply | null> {
+  const { host, port } = splitAddr(addr);
+  return new Promise((resolve) => {
+    let settled = false;
+    const settle = (reply: Reply | null) => {
+      if (settled) return;
+      settled = true;
+      clearTimeout(timer);
+      resolve(reply);
+    };
+    const text = body === null ? null : JSON.stringify(body);
+    const headers: Record<string, string | number> =
+      text === null ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) };
+    const req = request({ agent, host, port, method, path, headers }, (res: IncomingMessage) => {
+      const parts: Buffer[] = [];
+      let size = 0;
+      res.on('data', (d: Buffer) => {
+        size += d.length;
+        if (size > mostBytes) req.destroy();
+        else parts.push(d);
+      });
+      res.on('end', () => {
+        let parsed: unknown = null;
+        try {
+          const raw = Buffer.concat(parts).toString('utf8');
+          if (raw !== '') parsed = JSON.parse(raw);
+        } catch {
+          // Garbage in place of JSON: as good as no answer.
+          return settle(null);
+        }
+        settle({ status: res.statusCode ?? 0, body: parsed });
+      });
+      res.on('error', () => settle(null));
+      res.on('close', () => settle(null));
+    });
+    const timer = setTimeout(() => {
+      settle(null);
+      req.destroy();
+    }, timeoutMs);
+    req.on('error', () => settle(null));
+    req.end(text ?? undefined);
+  });
+}
+
+/** A small JSON client for one server: connections are kept open. */
 export class HttpClient {
   private readonly agent: Agent;
-  private readonly host: string;
-  private readonly port: number;
 
-  constructor(addr: string, sockets: number) {
-    ({ host: this.host, port: this.port } = splitAddr(addr));
+  constructor(
+    private readonly addr: string,
+    sockets: number,
+  ) {
     this.agent = new Agent({
       keepAlive: true,
       maxSockets: sockets,
@@ -24,52 +79,7 @@
     });
   }
 
-  /** null: no usable answer came; whether the request was carried out is unknown. */
   call(method: string, path: string, body: object | null, timeoutMs: number): Promise<Reply | null> {
-    return new Promise((resolve) => {
-      let settled = false;
-      const settle = (reply: Reply | null) => {
-        if (settled) return;
-        settled = true;
-        clearTimeout(timer);
-        resolve(reply);
-      };
-      const text = body === null ? null : JSON.stringify(body);
-      const headers: Record<string, string | number> =
-        text === null
-          ? {}
-          : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) };
-      const req = request(
-        { agent: this.agent, host: this.host, port: this.port, method, path, headers },
-        (res: IncomingMessage) => {
-          const parts: Buffer[] = [];
-          let size = 0;
-          res.on('data', (d: Buffer) => {
-            size += d.length;
-            if (size > mostBytes) req.destroy();
-            else parts.push(d);
-          });
-          res.on('end', () => {
-            let parsed: unknown = null;
-            try {
-              const raw = Buffer.concat(parts).toString('utf8');
-              if (raw !== '') parsed = JSON.parse(raw);
-            } catch {
-              // Garbage in place of JSON: as good as no answer.
-              return settle(null);
-            }
-            settle({ status: res.statusCode ?? 0, body: parsed });
-          });
-          res.on('error', () => settle(null));
-          res.on('close', () => settle(null));
-        },
-      );
-      const timer = setTimeout(() => {
-        settle(null);
-        req.destroy();
-      }, timeoutMs);
-      req.on('error', () => settle(null));
-      req.end(text ?? undefined);
-    });
+    return callOnce(this.agent, this.addr, method, path, body, timeoutMs);
   }
 }
--- /dev/null
+++ b/src/peers/mesh.ts
@@ -0,0 +1,99 @@
+import { connect, createServer, type Server, type Socket } from 'node:net';
+import { splitAddr, type Settings } from '../config/settings.js';
+import type { Log } from '../core/effects.js';
+import { encodeFrame, FrameReader, type Frame } from './frames.js';
+
+const reconnectMs = 1000;
+const mostQueued = 1024 * 1024;
+const mostInbound = 32;
+
+/**
+ * Connections between the controllers: each dials every other one and sends on its own connection. What
+ * cannot be sent at once is dropped; nothing here is needed for a right answer.
+ */
+export class Mesh {
+  private readonly out = new Map<string, { socket: Socket | null; ready: boolean }>();
+  private readonly server: Server;
+  private stopped = false;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly run: string,
+    private readonly log: Log,
+    private readonly got: (from: string, frame: Frame) => void,
+  ) {
+    this.server = createServer((socket) => this.inbound(socket));
+    this.server.maxConnections = mostInbound;
+  }
+
+  async start(): Promise<void> {
+    const { host, port } = splitAddr(this.settings.peerAddr);
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => resolve());
+    });
+    for (const p of this.settings.peers) this.dial(p.member, p.addr);
+  }
+
+  send(to: string, frame: Frame): boolean {
+    const link = this.out.get(to);
+    if (!link?.ready || !link.socket || link.socket.writableLength > mostQueued) return false;
+    link.socket.write(encodeFrame(frame));
+    return true;
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.server.close();
+    for (const l of this.out.values()) l.socket?.destroy();
+  }
+
+  private dial(member: string, addr: string): void {
+    const link = { socket: null as Socket | null, ready: false };
+    this.out.set(member, link);
+    const open = (): void => {
+      if (this.stopped) return;
+      const socket = connect(splitAddr(addr));
+      link.socket = socket;
+      socket.setNoDelay(true);
+      socket.setTimeout(reconnectMs * 5, () => {
+        if (!link.ready) socket.destroy();
+      });
+      socket.on('connect', () => {
+        link.ready = true;
+        socket.write(encodeFrame({ hello: { member: this.settings.member, run: this.run } }));
+      });
+      socket.on('data', () => undefined);
+      socket.on('error', () => undefined);
+      socket.on('close', () => {
+        link.ready = false;
+        setTimeout(open, reconnectMs).unref();
+      });
+    };
+    open();
+  }
+
+  private inbound(socket: Socket): void {
+    const reader = new FrameReader();
+    let from: string | null = null;
+    socket.setNoDelay(true);
+    socket.on('error', () => undefined);
+    socket.on('data', (data: Buffer) => {
+      let frames: Frame[];
+      try {
+        frames = reader.push(data);
+      } catch (e) {
+        this.log('warn', 'garbage from a peer', { from, error: String((e as Error).message) });
+        socket.destroy();
+        return;
+      }
+      for (const f of frames) {
+        if ('hello' in f) {
+          const known = this.settings.peers.some((p) => p.member === f.hello.member);
+          if (!known) return void socket.destroy();
+          from = f.hello.member;
+        } else if (from !== null) this.got(from, f);
+      }
+    });
+  }
+}
--- a/src/service.ts
+++ b/src/service.ts
@@ -1,11 +1,15 @@
 import { randomBytes } from 'node:crypto';
 import { performance } from 'node:perf_hooks';
 import { Cloud } from './cloud/cloud.js';
+import { Workers } from './workers/workers.js';
 import type { Operators } from './config/operators.js';
 import { splitAddr, type Settings } from './config/settings.js';
 import { Controller } from './core/controller.js';
 import type { Command, Effect, Log } from './core/effects.js';
+import { Mesh } from './peers/mesh.js';
+import type { Frame } from './peers/frames.js';
 import { Follower, Store } from './state/store.js';
+import { parseReport, reportOut } from './wire/worker.js';
 import { PublicServer } from './users/server.js';
 
 const tickMs = 50;
@@ -15,8 +19,13 @@
   readonly controller: Controller;
   private readonly store: Store;
   private readonly cloud: Cloud;
+  private readonly workers = new Workers();
   private readonly follower: Follower;
   private readonly front: PublicServer;
+  private readonly mesh: Mesh;
+  /** Answers owed to peers that relayed a report: by our request number. */
+  private readonly owed = new Map<number, { to: string; id: number }>();
+  private owedCount = 0;
   private queue: Command[] = [];
   private scheduled = false;
 
@@ -25,7 +34,9 @@
     operators: Operators,
     private readonly log: Log,
   ) {
-    this.controller = new Controller(settings, operators, randomBytes(4).toString('hex'), log);
+    const run = randomBytes(4).toString('hex');
+    this.controller = new Controller(settings, operators, run, log);
+    this.mesh = new Mesh(settings, run, log, (from, frame) => this.fromPeer(from, frame));
     this.store = new Store(settings.endpoints.state);
     this.cloud = new Cloud(settings.endpoints.cloud);
     // Watches may use about a tenth of the request budget that is this node's share.
@@ -50,10 +61,31 @@
       this.front.server.listen(port, host, () => resolve());
     });
     this.log('info', 'listening', { member: this.settings.member, addr: this.settings.publicAddr });
+    await this.mesh.start();
     void this.follower.run();
     setInterval(() => this.push({ c: 'tick' }), tickMs);
   }
 
+  private fromPeer(from: string, frame: Frame): void {
+    if ('pulse' in frame) return this.push({ c: 'pulse', epoch: frame.pulse.epoch });
+    try {
+      if ('relay' in frame) {
+        const report = parseReport(JSON.parse(frame.relay.report));
+        if (typeof report === 'string')
+          return this.log('warn', 'bad report from a peer', { from, why: report });
+        // Below zero, so that they never meet the numbers of our own server's requests.
+        const rid = -++this.owedCount;
+        this.owed.set(rid, { to: from, id: frame.relay.id });
+        this.push({ c: 'checkin', rid, report, from });
+      } else if ('relayed' in frame) {
+        const { id, status, body } = frame.relayed;
+        this.push({ c: 'relayed', rid: id, status, body: JSON.parse(body) as object });
+      }
+    } catch (e) {
+      this.log('warn', 'bad message from a peer', { from, error: String((e as Error).message) });
+    }
+  }
+
   private push(c: Command): void {
     this.queue.push(c);
     if (this.scheduled) return;
@@ -71,9 +103,27 @@
 
   private carryOut(e: Effect): void {
     switch (e.e) {
-      case 'answer':
+      case 'relay': {
+        const report = JSON.stringify(reportOut(e.report));
+        if (!this.mesh.send(e.to, { relay: { id: e.rid, report } }))
+          this.push({ c: 'relayed', rid: e.rid, status: 503, body: {} });
+        break;
+      }
+      case 'pulse':
+        for (const p of this.settings.peers) this.mesh.send(p.member, { pulse: { epoch: e.epoch } });
+        break;
+      case 'answer': {
+        const owed = this.owed.get(e.rid);
+        if (owed) {
+          this.owed.delete(e.rid);
+          this.mesh.send(owed.to, {
+            relayed: { id: owed.id, status: e.status, body: JSON.stringify(e.body) },
+          });
+          break;
+        }
         this.front.answer(e.rid, e.status, e.body, e.retryAfterS);
         break;
+      }
       case 'commit':
         void this.store.commit(e.txn).then((outcome) => this.push({ c: 'committed', outcome }));
         break;
@@ -111,6 +161,7 @@
         break;
       }
       case 'order':
+        void this.workers.order(e.endpoint, e.token, e.session, e.orders);
         break;
     }
   }
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { encodeFrame, FrameReader } from '../src/peers/frames.js';
 import { box, spec, World } from './world.js';
 
 const up = (w: World): void =>
@@ -295,3 +296,29 @@
   assert.deepEqual(w.broken, []);
   assert.equal(new Set(w.running('req-1').map((r) => r.piece)).size, 5);
 });
+
+test('a cut between a worker and its owner: its reports go through another controller', () => {
+  const w = new World(3, { shards: 1 });
+  up(w);
+  w.nodes[0].submit(spec('req-1', { shape: 'service', tasks: 1 }));
+  assert.ok(w.playUntil(() => w.running('req-1').length === 1, 60));
+  const owner = w.nodes.find((n) => n.controller.dispatcher.jobs.has('req-1'))!;
+  const worker = w.workers.get(w.running('req-1')[0].host)!;
+  worker.cutFrom.add(owner.member);
+  w.play(60);
+  assert.equal(worker.session, 1);
+  assert.equal(w.running('req-1').length, 1);
+});
+
+test('garbage, oversized and split frames between controllers', () => {
+  const frame = encodeFrame({ relayed: { id: 7, status: 200, body: '{"x":"ä"}' } });
+  const reader = new FrameReader();
+  assert.deepEqual(reader.push(frame.subarray(0, 3)), []);
+  const got = reader.push(Buffer.concat([frame.subarray(3), encodeFrame({ pulse: { epoch: 2 ** 40 } })]));
+  assert.deepEqual(got, [
+    { relayed: { id: 7, status: 200, body: '{"x":"ä"}' } },
+    { pulse: { epoch: 2 ** 40 } },
+  ]);
+  assert.throws(() => reader.push(Buffer.from('ffffffff00', 'hex')));
+  assert.throws(() => new FrameReader().push(Buffer.from('00000003ffffff', 'hex')));
+});
