--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -38,8 +38,8 @@
 }
 
 const mostPerRent = 50;
-/** Share of the slack in which running tasks may be waited for instead of renting a very dear machine. */
-const mostSlackShare = 0.6;
+/** Share of the slack in which running tasks may be waited for instead of renting. */
+const slackShare = 0.6;
 const mostPerDelete = 100;
 
 /**
@@ -551,12 +551,7 @@
    */
   private soon(job: JobRecord & { spec: JobSpec }, want: number, rooms: Room[]): number {
     const { spec } = job;
-    // The dearer the machine it takes, the longer running tasks are waited for.
-    const perCpu = (t: MachineType) => t.price / Math.max(t.cpus, 1);
-    const cheapest = Math.min(...this.replica.types.map(perCpu));
-    const here = anchorPrice(spec, this.replica.types, () => true);
-    const patience = mostSlackShare * (1 - cheapest / here);
-    const slack = patience > 0 ? this.slack(job) * patience : 0;
+    const slack = this.slack(job) * slackShare;
     let served = 0;
     for (const r of rooms) {
       if (served >= want) break;
