--- a/src/config/operators.ts
+++ b/src/config/operators.ts
@@ -31,7 +31,7 @@
   'grant-s': 30,
   /** A node's state lease, as a share of the workers' lease. */
   'node-lease-ratio': 0.33,
-  /** An idle machine is kept for this many boot times. */
+  /** An idle machine is kept for this many times what it would take to replace: boot and its largest image. */
   'idle-boots': 1,
   /** Shards; 0: one per controller. */
   shards: 1,
--- a/src/core/dispatcher.ts
+++ b/src/core/dispatcher.ts
@@ -8,7 +8,7 @@
 import { Rank, type Committer } from './committer.js';
 import type { Clock, Effect, Log } from './effects.js';
 import { chunkKey, jobKey, machineKey, shardKey } from './keys.js';
-import { placeRound } from './placement.js';
+import { fetchS, placeRound } from './placement.js';
 import {
   Bits,
   chunkData,
@@ -99,7 +99,8 @@
   idleSince: number;
   errorJobs: Set<string>;
   errors: number;
-  images: Set<string>;
+  /** Images seen on it, and how long they take to fetch, s. */
+  images: Map<string, number>;
   /** When this process took it up, ms. */
   takenAt: number;
   condemned: boolean;
@@ -190,7 +191,7 @@
       idleSince: now,
       errorJobs: new Set(),
       errors: 0,
-      images: new Set(),
+      images: new Map(),
       takenAt: now,
       condemned: record.standing === 'dead',
       releasing: false,
@@ -664,7 +665,7 @@
     const now = this.clock.now;
     if (t.phase !== 'exited') {
       p.phase = t.phase;
-      if (t.phase !== 'fetching') m.images.add(p.job.spec.image);
+      if (t.phase !== 'fetching') m.images.set(p.job.spec.image, fetchS(p.job.spec, m.type));
       if (t.phase === 'running' && p.ranAt === 0) p.ranAt = now;
       return;
     }
@@ -802,16 +803,23 @@
         this.release(m, 'dead', m.heardAt > 0 ? 'silent' : 'never came up');
       } else if (m.condemned && m.placements.size === 0) this.release(m, 'dead', 'failing');
       else if (m.noticeAt > 0 && m.placements.size === 0) this.release(m, 'dead', 'notice');
-      else if (
-        m.placements.size === 0 &&
-        m.provenAt > 0 &&
-        now - m.idleSince > this.operators['idle-boots'] * m.type.bootS * 1000
-      )
+      else if (m.placements.size === 0 && m.provenAt > 0 && now - m.idleSince > this.idleMs(m))
         this.release(m, 'free', 'idle');
     }
     this.hazard.observe(spot, elapsedS);
   }
 
+  /**
+   * How long an idle machine is worth keeping: in proportion to what its replacement would take to be of use,
+   * boot and largest image, and down to half of that for the dearest.
+   */
+  private idleMs(m: MachineRun): number {
+    const perCpu = (t: MachineType): number => t.price / Math.max(t.cpus, 1);
+    const cheapest = Math.min(...this.replica.types.map(perCpu));
+    const replaceS = m.type.bootS + Math.max(0, ...m.images.values());
+    return this.operators['idle-boots'] * Math.max(0.5, cheapest / perCpu(m.type)) * replaceS * 1000;
+  }
+
   /** Gives a machine back to the leader: idle ones to be used elsewhere, dead ones to be returned. */
   private release(m: MachineRun, standing: 'free' | 'dead', why: string): void {
     m.releasing = true;
