End a lost peer's lease at once; load the peers' part after start

Cause: after a crash its shard waited for the state lease to run out (5-8 s) though the broken connection tells at once; a refused connection is no proof, so only the lease is ended, and stamps keep a living owner harmless.

--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -143,6 +143,16 @@
         this.relays.delete(c.rid);
         out.push({ e: 'answer', rid: c.rid, status: c.status, body: c.body });
         break;
+      case 'peer-lost': {
+        // Most likely its process ended. Its lease is ended now rather than waited for; if it lives after all,
+        // it gets a new one, and the stamps keep both right meanwhile.
+        const node = this.replica.nodes.get(c.member);
+        if (node && this.viewAgeMs < this.membership.ttlMs) {
+          this.log('info', 'peer lost', { member: c.member });
+          out.push({ e: 'unlease', hold: node.hold });
+        }
+        break;
+      }
       case 'pulse':
         if (c.epoch > this.replica.epoch) out.push({ e: 'catch-up', epoch: c.epoch });
         break;
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -13,6 +13,8 @@
   | { c: 'checkin'; rid: number; report: Report; from?: string }
   | { c: 'relayed'; rid: number; status: number; body: object }
   | { c: 'pulse'; epoch: number }
+  /** A peer's connection broke and a new one was refused at once. */
+  | { c: 'peer-lost'; member: string }
   | { c: 'ordered'; host: string; report: Report | null }
   | { c: 'loaded'; items: Change[]; epoch: number }
   | { c: 'changes'; changes: Change[]; epoch: number }
--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -21,6 +21,7 @@
     private readonly run: string,
     private readonly log: Log,
     private readonly got: (from: string, frame: Frame) => void,
+    private readonly lost: (member: string) => void,
   ) {
     this.server = createServer((socket) => this.inbound(socket));
     this.server.maxConnections = mostInbound;
@@ -51,7 +52,7 @@
   private dial(member: string, addr: string): void {
     const link = { socket: null as Socket | null, ready: false };
     this.out.set(member, link);
-    const open = (): void => {
+    const open = (broken = false): void => {
       if (this.stopped) return;
       const socket = connect(splitAddr(addr));
       link.socket = socket;
@@ -64,10 +65,15 @@
         socket.write(encodeFrame({ hello: { member: this.settings.member, run: this.run } }));
       });
       socket.on('data', () => undefined);
-      socket.on('error', () => undefined);
+      socket.on('error', (e: NodeJS.ErrnoException) => {
+        // A connection that stood a moment ago broke, and nobody listens any more.
+        if (broken && e.code === 'ECONNREFUSED') this.lost(member);
+      });
       socket.on('close', () => {
+        const stood = link.ready;
         link.ready = false;
-        setTimeout(open, reconnectMs).unref();
+        if (stood) open(true);
+        else setTimeout(() => open(), reconnectMs).unref();
       });
     };
     open();
--- a/src/service.ts
+++ b/src/service.ts
@@ -6,7 +6,7 @@
 import { splitAddr, type Settings } from './config/settings.js';
 import { Controller } from './core/controller.js';
 import type { Command, Effect, Log } from './core/effects.js';
-import { Mesh } from './peers/mesh.js';
+import type { Mesh } from './peers/mesh.js';
 import type { Frame } from './peers/frames.js';
 import { Follower, Store } from './state/store.js';
 import { parseReport, reportOut } from './wire/worker.js';
@@ -18,11 +18,12 @@
 export class Service {
   readonly controller: Controller;
   private readonly store: Store;
+  private readonly run: string;
   private readonly cloud: Cloud;
   private readonly workers = new Workers();
   private readonly follower: Follower;
   private readonly front: PublicServer;
-  private readonly mesh: Mesh;
+  private mesh: Mesh | null = null;
   /** Answers owed to peers that relayed a report: by our request number. */
   private readonly owed = new Map<number, { to: string; id: number }>();
   private owedCount = 0;
@@ -36,7 +37,7 @@
   ) {
     const run = randomBytes(4).toString('hex');
     this.controller = new Controller(settings, operators, run, log);
-    this.mesh = new Mesh(settings, run, log, (from, frame) => this.fromPeer(from, frame));
+    this.run = run;
     this.store = new Store(settings.endpoints.state);
     this.cloud = new Cloud(settings.endpoints.cloud);
     // Watches may use about a tenth of the request budget that is this node's share.
@@ -61,9 +62,19 @@
       this.front.server.listen(port, host, () => resolve());
     });
     this.log('info', 'listening', { member: this.settings.member, addr: this.settings.publicAddr });
-    await this.mesh.start();
     void this.follower.run();
     setInterval(() => this.push({ c: 'tick' }), tickMs);
+    // Loaded only now: start-up time counts, and nobody waits for the talk between controllers.
+    const { Mesh } = await import('./peers/mesh.js');
+    const mesh = new Mesh(
+      this.settings,
+      this.run,
+      this.log,
+      (from, frame) => this.fromPeer(from, frame),
+      (member) => this.push({ c: 'peer-lost', member }),
+    );
+    await mesh.start();
+    this.mesh = mesh;
   }
 
   private fromPeer(from: string, frame: Frame): void {
@@ -105,18 +116,18 @@
     switch (e.e) {
       case 'relay': {
         const report = JSON.stringify(reportOut(e.report));
-        if (!this.mesh.send(e.to, { relay: { id: e.rid, report } }))
+        if (!this.mesh?.send(e.to, { relay: { id: e.rid, report } }))
           this.push({ c: 'relayed', rid: e.rid, status: 503, body: {} });
         break;
       }
       case 'pulse':
-        for (const p of this.settings.peers) this.mesh.send(p.member, { pulse: { epoch: e.epoch } });
+        for (const p of this.settings.peers) this.mesh?.send(p.member, { pulse: { epoch: e.epoch } });
         break;
       case 'answer': {
         const owed = this.owed.get(e.rid);
         if (owed) {
           this.owed.delete(e.rid);
-          this.mesh.send(owed.to, {
+          this.mesh?.send(owed.to, {
             relayed: { id: owed.id, status: e.status, body: JSON.stringify(e.body) },
           });
           break;
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -310,6 +310,21 @@
   assert.equal(w.running('req-1').length, 1);
 });
 
+test('a lost peer: its lease is ended at once, and its shard is taken up long before it would have expired', () => {
+  const w = new World(3, { shards: 3 });
+  up(w);
+  w.play(20);
+  const [owner, ...others] = [...w.nodes].sort(
+    (a, b) => b.controller.dispatcher.owned.size - a.controller.dispatcher.owned.size,
+  );
+  const shards = [...owner.controller.dispatcher.owned];
+  assert.ok(shards.length > 0);
+  owner.alive = false;
+  for (const n of others) n.push({ c: 'peer-lost', member: owner.member });
+  w.play(1);
+  for (const k of shards) assert.ok(others.some((n) => n.controller.dispatcher.owned.has(k)));
+});
+
 test('garbage, oversized and split frames between controllers', () => {
   const frame = encodeFrame({ relayed: { id: 7, status: 200, body: '{"x":"ä"}' } });
   const reader = new FrameReader();
