A node cut off alone from the state service sends its users away

Change: unhealthy when the view is stale and a peer has told of a newer revision; in a common outage all stay healthy.

--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -69,8 +69,18 @@
   /** Reports handed on to their owner, by request, and when, ms. */
   private readonly relays = new Map<number, number>();
 
+  /** The newest revision that a peer told of, and when, ms. */
+  private told = { epoch: -1, at: -Infinity };
+
+  /**
+   * Whether users should be sent here. In an outage that all nodes share, staying is best: final states are
+   * answered still. A node that alone is cut off from the state service must go: its users' polls would fail
+   * for as long as their connections last, while the others could answer them.
+   */
   get healthy(): boolean {
-    return this.replica.epoch >= 0;
+    if (this.replica.epoch < 0) return false;
+    const stale = this.viewAgeMs > this.membership.ttlMs;
+    return !(stale && this.told.epoch > this.replica.epoch && this.told.at > this.viewAt);
   }
 
   step(commands: Command[], clock: Clock): Effect[] {
@@ -154,6 +164,7 @@
         break;
       }
       case 'pulse':
+        this.told = { epoch: Math.max(this.told.epoch, c.epoch), at: this.clock.now };
         if (c.epoch > this.replica.epoch) out.push({ e: 'catch-up', epoch: c.epoch });
         break;
       case 'loaded':
--- a/src/core/dispatcher.ts
+++ b/src/core/dispatcher.ts
@@ -361,7 +361,10 @@
     const chunks = new Set(at.map((a) => this.chunkOf(job, a.index)));
     for (const c of chunks) c.version++;
     for (const a of at) {
-      if (job.active.has(a.index)) throw new Error(`${pieceName(job.id, a.index)} is placed already`);
+      if (job.active.has(a.index)) {
+        this.log('error', 'placed already', { piece: pieceName(job.id, a.index) });
+        continue;
+      }
       const chunk = this.chunkOf(job, a.index);
       if (attempt !== undefined) chunk.last = Math.max(chunk.last, attempt);
       this.enter(job, chunk, { index: a.index, attempt: attempt ?? ++chunk.last, host: a.host }, true);
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -325,6 +325,25 @@
   for (const k of shards) assert.ok(others.some((n) => n.controller.dispatcher.owned.has(k)));
 });
 
+test('a node cut off alone from the state service sends its users away; in a common outage all stay', () => {
+  const w = new World(2);
+  up(w);
+  w.play(5);
+  w.nodes[1].cut = true;
+  w.play(20);
+  assert.equal(w.nodes[1].controller.healthy, true);
+  w.nodes[0].submit(spec('req-1'));
+  w.nodes[1].push({ c: 'pulse', epoch: w.state.epoch });
+  w.play(1);
+  assert.equal(w.nodes[1].controller.healthy, false);
+  w.nodes[1].cut = false;
+  w.play(10);
+  assert.equal(w.nodes[1].controller.healthy, true);
+  w.state.down = true;
+  w.play(20);
+  assert.ok(w.nodes.every((n) => n.controller.healthy));
+});
+
 test('garbage, oversized and split frames between controllers', () => {
   const frame = encodeFrame({ relayed: { id: 7, status: 200, body: '{"x":"ä"}' } });
   const reader = new FrameReader();
