Idle leased machines are existing ones to the policy, not fresh

Cause: the champion's bonus for new machines (0.0008 x free CPUs, up to 0.0096) outweighed the one for machines in use (0.008) for idle machines we already pay for, which spread work; in the paper new means yet to be rented.

--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -130,7 +130,8 @@
     const delayS = m.images.has(spec.image) ? 0 : fetchS(spec, m.type);
     const room = roomOf(d, m);
     if (!gpuMachineOpen(spec, m.type, m.type.gpus - room.gpus)) continue;
-    const c = candidate(m.type, m.record.spot, hazard, m.placements.size === 0, room.cpus, delayS);
+    // A leased machine is there already, also when it stands idle: only one to be rented is fresh.
+    const c = candidate(m.type, m.record.spot, hazard, false, room.cpus, delayS);
     // Fuller machines first, so that the others run empty and can be returned.
     scored.push({ m, s: score(work, c, anchor, w) + packing * fullness(m.type, room) });
   }
--- a/src/policy/helios.ts
+++ b/src/policy/helios.ts
@@ -21,7 +21,7 @@
   spot: boolean;
   /** Probability of an interruption per hazard step. */
   hazard: number;
-  /** True if nothing runs on it yet. */
+  /** True if it would have to be rented. */
   fresh: boolean;
   freeCpus: number;
   /** Time until a task could start there (boot, image fetch), in minutes. */
