--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -55,7 +55,8 @@
   private count = 0;
   private budget = 0;
   private budgetAt = -1;
-  private readonly refused = new Map<string, number>();
+  /** Slots that were refused: when last, and how often in a row. */
+  private readonly refused = new Map<string, { at: number; times: number }>();
   private readonly renting = new Map<string, { request: RentRequest; shard: number }>();
   private readonly deleting = new Set<string>();
   private readonly writing = new Set<string>();
@@ -148,7 +149,8 @@
     if (typeof outcome === 'object') {
       this.renting.delete(request.name);
       this.log('info', 'rented', { ...request, hosts: outcome.hosts });
-      if (outcome.hosts.length < request.count) this.refused.set(slot, now);
+      this.refused.delete(slot);
+      if (outcome.hosts.length < request.count) this.refused.set(slot, { at: now, times: 1 });
       for (const host of outcome.hosts)
         this.record({
           host,
@@ -163,7 +165,9 @@
     }
     if (outcome === 'none') {
       this.log('info', 'no capacity', { ...request });
-      this.refused.set(slot, now);
+      this.refused.set(slot, { at: now, times: (this.refused.get(slot)?.times ?? 0) + 1 });
+      // The next best slot is tried at once.
+      this.planAt = -Infinity;
     }
     // No answer: it may have been carried out, or may still be. Asking again under the same name tells.
     if (outcome === 'unknown' && asked) this.askAgain.push(request);
@@ -526,8 +530,11 @@
   }
 
   private isOpen(type: MachineType, zone: string, spot: boolean): boolean {
-    const at = this.refused.get(slotName(type.name, zone, spot)) ?? -Infinity;
-    return this.clock.now - at > this.refusalMs(type.name);
+    const refusal = this.refused.get(slotName(type.name, zone, spot));
+    if (!refusal) return true;
+    // A slot that is refused time and again rests longer and longer.
+    const rest = this.refusalMs(type.name) * 2 ** Math.min(refusal.times - 1, 3);
+    return this.clock.now - refusal.at > rest;
   }
 
   /**
@@ -551,7 +558,11 @@
    */
   private soon(job: JobRecord & { spec: JobSpec }, want: number, rooms: Room[]): number {
     const { spec } = job;
-    const slack = this.slack(job) * slackShare;
+    // The dearer the machine it takes, the longer running tasks are waited for.
+    const perCpu = (t: MachineType) => t.price / Math.max(t.cpus, 1);
+    const cheapest = Math.min(...this.replica.types.map(perCpu));
+    const dear = 1 - cheapest / anchorPrice(spec, this.replica.types, () => true);
+    const slack = this.slack(job) * slackShare * (0.75 + dear / 4);
     let served = 0;
     for (const r of rooms) {
       if (served >= want) break;
