--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -356,3 +356,25 @@
   assert.throws(() => reader.push(Buffer.from('ffffffff00', 'hex')));
   assert.throws(() => new FrameReader().push(Buffer.from('00000003ffffff', 'hex')));
 });
+
+test('moves: tasks leave overpriced spot after their residency, a few per window, and only to a free place', () => {
+  const w = new World(1);
+  up(w);
+  w.endless.add('req-1');
+  w.nodes[0].submit(spec('req-1', { team: 'blue', spot: true, tasks: 3, checkpointS: 5, saveS: 1 }));
+  assert.ok(w.playUntil(() => w.running('req-1').length === 3, 60));
+  const onSpot = (): number => w.running('req-1').filter((r) => w.workers.get(r.host)!.spot).length;
+  assert.equal(onSpot(), 3);
+  w.nodes[0].submit(spec('req-2', { team: 'blue', shape: 'service', tasks: 1 }));
+  assert.ok(w.playUntil(() => w.running('req-2').length === 1, 60));
+  for (let i = 0; i < 200; i++) w.nodes[0].controller.dispatcher.hazard.taken();
+  w.play(20);
+  assert.equal(onSpot(), 3);
+  assert.ok(w.playUntil(() => onSpot() === 0 && w.running('req-1').length === 3, 200));
+  const moves = w.starts
+    .filter((s) => s.piece.startsWith('req-1/') && !w.workers.get(s.host)?.spot)
+    .map((s) => s.at);
+  // One move a window: ceil(0.05 x 4 tasks).
+  for (let i = 1; i < moves.length; i++) assert.ok(moves[i] - moves[i - 1] > 7000);
+  assert.deepEqual(w.broken, []);
+});
