--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -378,3 +378,17 @@
   for (let i = 1; i < moves.length; i++) assert.ok(moves[i] - moves[i - 1] > 7000);
   assert.deepEqual(w.broken, []);
 });
+
+test('a gang too big for its block: the leader enlarges it with idle machines of another, and it starts whole', () => {
+  const w = new World(2, { shards: 2 });
+  w.capacity = 4;
+  up(w);
+  w.nodes[0].submit(spec('req-1', { team: 'red', tasks: 2, cpus: 8 }));
+  assert.ok(w.playUntil(() => w.running('req-1').length === 2, 60));
+  w.nodes[0].submit(spec('req-2', { team: 'blue', shape: 'gang', tasks: 4, cpus: 8 }));
+  assert.ok(w.playUntil(() => w.starts.some((s) => s.piece.startsWith('req-2/')), 120));
+  w.play(5);
+  assert.equal(new Set(w.starts.filter((s) => s.piece.startsWith('req-2/')).map((s) => s.host)).size, 4);
+  assert.equal(w.rentals.length > 0 && w.deleted.length, 0);
+  assert.deepEqual(w.broken, []);
+});
