--- a/src/core/committer.ts
+++ b/src/core/committer.ts
@@ -33,11 +33,18 @@
   ops: number;
   conditions: number;
   bytes: number;
+  /** Puts and deletes per second that the state service takes from all controllers together. */
   writesPerS: number;
+  /** Controllers that share them. */
+  nodes: number;
 }
 
 const firstBackoffMs = 150;
 const longestBackoffMs = 1000;
+/** How the share of the common budget that a controller takes rises while it is short, and falls when refused. */
+const rise = 0.02;
+const fall = 0.7;
+const largestShare = 0.9;
 
 /**
  * Groups intents into transactions, one in flight at a time. When no answer comes, the same transaction is
@@ -45,13 +52,16 @@
  * mark in each value tells whether an earlier sending did it.
  */
 export class Committer {
-  private queue: Intent[] = [];
+  /** Intents that wait, by rank, each in order of arrival. */
+  private readonly queues: Intent[][] = Array.from({ length: Rank.cleanup + 1 }, () => []);
   private flight: { built: Built[]; txn: Txn; mark: string; unsure: boolean } | null = null;
   private waitFor: { epoch: number; failed: string[] } | null = null;
   private sent = true;
   private resendAt = 0;
   private backoffMs = 0;
   private tokens: number;
+  /** Writes per second that this controller allows itself now; found by trying. */
+  private rate: number;
   private refilledAt = -1;
   private count = 0;
   private lastAt = -Infinity;
@@ -63,33 +73,33 @@
     private readonly replica: Replica,
     private readonly log: Log,
   ) {
-    this.tokens = limits.writesPerS;
+    // Not knowing what the others need, each begins with more than an equal share.
+    this.rate = limits.nodes > 1 ? limits.writesPerS / 2 : limits.writesPerS * largestShare;
+    this.tokens = this.rate;
   }
 
   add(intent: Intent): void {
-    this.queue.push(intent);
+    this.queues[intent.rank].push(intent);
   }
 
   get waiting(): number {
-    return this.queue.length + (this.flight?.built.length ?? 0);
+    return this.queues.reduce((n, q) => n + q.length, this.flight?.built.length ?? 0);
   }
 
   pump(now: number, out: Effect[]): void {
     if (this.refilledAt < 0) this.refilledAt = now;
-    this.tokens = Math.min(
-      this.limits.writesPerS,
-      this.tokens + ((now - this.refilledAt) / 1000) * this.limits.writesPerS,
-    );
+    this.tokens = Math.min(this.rate, this.tokens + ((now - this.refilledAt) / 1000) * this.rate);
     this.refilledAt = now;
     if (this.flight) {
       if (this.waitFor) {
         if (this.replica.epoch >= this.waitFor.epoch) this.judge(this.waitFor.failed, this.waitFor.epoch);
       } else if (!this.sent && now >= this.resendAt) this.send(now, out);
     }
-    if (this.flight || now < this.resendAt || this.queue.length === 0) return;
-    this.queue.sort((a, b) => a.rank - b.rank);
+    if (this.flight || now < this.resendAt || this.tokens < 1) return;
+    const first = this.queues.findIndex((q) => q.length > 0);
+    if (first < 0) return;
     // Nothing that users wait for: let a few changes gather.
-    if (this.queue[0].rank >= Rank.task && now - this.lastAt < 100) return;
+    if (first >= Rank.task && now - this.lastAt < 100) return;
     this.assemble(now, out);
   }
 
@@ -98,41 +108,45 @@
     const when = new Map<string, Condition>();
     const apply: Write[] = [];
     const touched = new Set<string>();
-    const rest: Intent[] = [];
+    const most = Math.min(this.limits.ops, Math.floor(this.tokens));
     let bytes = 0;
-    for (const intent of this.queue) {
-      if (this.bulkOff && built.length > 0) {
-        rest.push(intent);
-        continue;
-      }
-      if (apply.length >= this.limits.ops || apply.length >= this.tokens) {
-        rest.push(intent);
-        continue;
-      }
-      const txn = intent.build();
-      if (txn === null) continue;
-      const size = JSON.stringify(txnOut(txn)).length;
-      const clash =
-        txn.apply.some((w) => touched.has(w.key)) ||
-        txn.when.some((c) => when.has(c.key) && when.get(c.key)!.stamp !== c.stamp);
-      const conditions = txn.when.filter((c) => !when.has(c.key)).length;
-      if (
-        clash ||
-        (built.length > 0 &&
-          (apply.length + txn.apply.length > Math.min(this.limits.ops, this.tokens) ||
-            when.size + conditions > this.limits.conditions ||
-            bytes + size > this.limits.bytes))
-      ) {
-        rest.push(intent);
-        continue;
+    // What was built and did not fit; a few are enough, or every commit would build the whole queue.
+    let left = 0;
+    const full = (): boolean =>
+      apply.length >= most || left >= this.limits.ops || (this.bulkOff && built.length > 0);
+    for (let rank = 0; rank < this.queues.length && !full(); rank++) {
+      const queue = this.queues[rank];
+      const rest: Intent[] = [];
+      let i = 0;
+      for (; i < queue.length && !full(); i++) {
+        const intent = queue[i];
+        const txn = intent.build();
+        if (txn === null) continue;
+        const size = JSON.stringify(txnOut(txn)).length;
+        const clash =
+          txn.apply.some((w) => touched.has(w.key)) ||
+          txn.when.some((c) => when.has(c.key) && when.get(c.key)!.stamp !== c.stamp);
+        const conditions = txn.when.filter((c) => !when.has(c.key)).length;
+        if (
+          clash ||
+          (built.length > 0 &&
+            (apply.length + txn.apply.length > most ||
+              when.size + conditions > this.limits.conditions ||
+              bytes + size > this.limits.bytes))
+        ) {
+          rest.push(intent);
+          left++;
+          continue;
+        }
+        bytes += size;
+        built.push({ intent, txn });
+        for (const c of txn.when) when.set(c.key, c);
+        for (const w of txn.apply) touched.add(w.key);
+        apply.push(...txn.apply);
       }
-      bytes += size;
-      built.push({ intent, txn });
-      for (const c of txn.when) when.set(c.key, c);
-      for (const w of txn.apply) touched.add(w.key);
-      apply.push(...txn.apply);
+      // Builds may have added to the queue meanwhile: only what was looked at is replaced.
+      queue.splice(0, i, ...rest);
     }
-    this.queue = rest;
     if (built.length === 0) return;
     const mark = `${this.run}.${++this.count}`;
     for (const w of apply) if (w.data !== undefined) w.data = { ...w.data, w: mark };
@@ -151,11 +165,16 @@
   outcome(o: CommitOutcome, now: number, out: Effect[]): void {
     const flight = this.flight;
     if (!flight) return;
-    if (o.r !== 'refused' && o.r !== 'unknown') this.backoffMs = 0;
+    if (o.r !== 'refused' && o.r !== 'unknown' && o.r !== 'busy') this.backoffMs = 0;
     switch (o.r) {
       case 'ok':
         this.flight = null;
         this.bulkOff = false;
+        if (this.tokens < 1 && this.waiting > 0)
+          this.rate = Math.min(
+            this.limits.writesPerS * largestShare,
+            this.rate + this.limits.writesPerS * rise,
+          );
         // Our own writes are seen at once, not only when the watch delivers them.
         for (const w of flight.txn.apply) this.replica.apply({ key: w.key, data: w.data, stamp: o.epoch });
         for (const b of flight.built) b.intent.ok(o.epoch);
@@ -172,17 +191,28 @@
           for (const b of flight.built) {
             const mine = b.txn.when.filter((c) => failed.has(c.key)).map((c) => c.key);
             if (mine.length > 0) b.intent.conflict(mine, o.epoch);
-            else this.queue.push(b.intent);
+            else this.add(b.intent);
           }
         }
         break;
+      case 'busy':
+        this.rate = Math.max((this.limits.writesPerS / this.limits.nodes) * fall, this.rate * fall);
+        this.tokens = Math.min(this.tokens, 0);
+        this.resendAt = now + firstBackoffMs;
+        if (flight.unsure) this.sent = false;
+        else {
+          this.flight = null;
+          // Guards against turning users away for a moment's crowd: only an outage does that.
+          for (const b of flight.built) this.add(b.intent);
+        }
+        break;
       case 'refused':
         this.back(now);
         if (flight.unsure) {
           this.sent = false;
         } else {
           this.flight = null;
-          for (const b of flight.built) if (!(b.intent.refused?.() ?? false)) this.queue.push(b.intent);
+          for (const b of flight.built) if (!(b.intent.refused?.() ?? false)) this.add(b.intent);
         }
         break;
       case 'unknown':
@@ -196,7 +226,7 @@
         if (flight.built.length > 1) {
           // One of them spoils the others: send them one by one.
           this.bulkOff = true;
-          for (const b of flight.built) this.queue.push(b.intent);
+          for (const b of flight.built) this.add(b.intent);
         } else {
           this.bulkOff = false;
           if (o.r === 'malformed')
@@ -230,7 +260,7 @@
       else {
         const mine = b.txn.when.filter((c) => failing.has(c.key)).map((c) => c.key);
         if (mine.length > 0 || applied) b.intent.conflict(mine, epoch);
-        else this.queue.push(b.intent);
+        else this.add(b.intent);
       }
     }
   }
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -52,7 +52,8 @@
         conditions: s.txn_ops * 4,
         // Room for the frame around the values, and for the reading of non-ASCII text.
         bytes: 48 * 1024,
-        writesPerS: s.write_rps / 2,
+        writesPerS: s.write_rps,
+        nodes: 1 + settings.peers.length,
       },
       this.replica,
       log,
--- /dev/null
+++ b/src/core/demand.ts
@@ -0,0 +1,341 @@
+import type { Operators } from '../config/operators.js';
+import type { Settings } from '../config/settings.js';
+import { isPremium, zoneShare, type JobSpec } from '../model/job.js';
+import { timesFits, type Fits, type MachineType } from '../model/machine.js';
+import { teamCap, typeAllowed } from '../policy/admission.js';
+import { limitsOf, slackS } from '../policy/deadlines.js';
+import { spotAllowed } from '../policy/guardrails.js';
+import { anchorPrice, fetchS, gpuMachineOpen, inOrder } from './placement.js';
+import type { JobRecord } from './records.js';
+import type { Machine, Replica } from './replica.js';
+
+/** Tasks that wait and find no room on the machines of their shard. */
+export interface Unmet {
+  spec: JobSpec;
+  shard: number;
+  count: number;
+  /** The zones it may be met in; null: any. */
+  zones: string[] | null;
+  /** Time left for it to start, s. */
+  slack: number;
+}
+
+/** A machine that is up or coming, and what is left on it. */
+export interface Room extends Fits {
+  /** Free only later, as running tasks end. */
+  busy: Fits;
+  /** How long the tasks on it run, on average, by their estimates. */
+  runS: number;
+  tasks: number;
+  type: MachineType;
+}
+
+/** Rooms of one type, zone and way of renting: a job may use all of them or none. */
+interface RoomKind {
+  type: MachineType;
+  zone: string;
+  spot: boolean;
+  rooms: Room[];
+  /** The least that found no room here, with and without GPUs: who takes as much or more need not look. */
+  full: Map<boolean, Fits>;
+}
+
+export type RoomKinds = Map<string, RoomKind>;
+
+type WaitingJob = JobRecord & { spec: JobSpec; waiting: number };
+
+/** Share of the slack in which running tasks may be waited for instead of renting. */
+const slackShare = 0.6;
+
+/** The kinds of one shard, made when first asked for. */
+export function kindOf(kinds: RoomKinds, type: MachineType, zone: string, spot: boolean): RoomKind {
+  const key = slotName(type.name, zone, spot);
+  let kind = kinds.get(key);
+  if (!kind) kinds.set(key, (kind = { type, zone, spot, rooms: [], full: new Map() }));
+  return kind;
+}
+
+export const slotName = (type: string, zone: string, spot: boolean): string =>
+  `${type} ${zone} ${spot ? 'spot' : ''}`;
+
+export const emptyRoom = (type: MachineType, headroom: number): Room => ({
+  busy: { cpus: 0, gpus: 0, memGb: 0 },
+  runS: 0,
+  tasks: 0,
+  type,
+  cpus: type.cpus * (1 - headroom),
+  gpus: type.gpus,
+  memGb: type.memGb,
+});
+
+export const mayUse = (spec: JobSpec, type: MachineType, zone: string, spot: boolean): boolean =>
+  typeAllowed(spec, type) && (spec.zone === null || spec.zone === zone) && (!spot || spotAllowed(spec));
+
+/**
+ * What the fleet lacks, read off the replica, which every node has: one pass over what is placed, then one over
+ * what waits, in placement order.
+ */
+export class Demand {
+  private readonly rooms = new Map<number, RoomKinds>();
+  private readonly byHost = new Map<string, Room>();
+  private readonly teams = new Map<string, { cpus: number; gpus: number }>();
+  /** Rooms with tasks on them, emptiest first, by shard: made when a gang first asks. */
+  private readonly emptiest = new Map<number, { room: Room; kind: RoomKind }[]>();
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly operators: Operators,
+    private readonly replica: Replica,
+    private readonly wall: number,
+    /** Whether a slot is thought to be obtainable. */
+    private readonly isOpen: (type: MachineType, zone: string, spot: boolean) => boolean,
+  ) {}
+
+  kindsOf(shard: number): RoomKinds {
+    let kinds = this.rooms.get(shard);
+    if (!kinds) this.rooms.set(shard, (kinds = new Map()));
+    return kinds;
+  }
+
+  addMachine(m: Machine, type: MachineType): void {
+    const room = emptyRoom(type, this.operators.headroom);
+    this.byHost.set(m.host, room);
+    kindOf(this.kindsOf(m.shard), type, m.zone, m.spot).rooms.push(room);
+  }
+
+  /** Takes what is placed off the rooms and the teams' limits. */
+  takePlaced(): void {
+    for (const [id, chunks] of this.replica.chunks) {
+      const job = this.replica.jobs.get(id);
+      const need = job?.spec ?? job?.use;
+      if (!need) continue;
+      const team = this.teamUse(need.team);
+      const runS = job?.spec ? (job.spec.shape === 'service' ? Infinity : job.spec.estimateS) : 0;
+      for (const c of chunks.values()) {
+        team.cpus += c.placed.length * need.cpus;
+        team.gpus += c.placed.length * need.gpus;
+        for (const p of c.placed) {
+          const room = this.byHost.get(p.host);
+          if (!room) continue;
+          take(room, need, 1);
+          take(room.busy, need, -1);
+          room.runS = (room.runS * room.tasks + runS) / (room.tasks + 1);
+          room.tasks++;
+        }
+      }
+    }
+  }
+
+  private teamUse(team: string): { cpus: number; gpus: number } {
+    let use = this.teams.get(team);
+    if (!use) this.teams.set(team, (use = { cpus: 0, gpus: 0 }));
+    return use;
+  }
+
+  /** What waits and finds no room, in placement order. */
+  unmet(): Unmet[] {
+    const jobs: WaitingJob[] = [];
+    for (const id of this.replica.open) {
+      const job = this.replica.jobs.get(id)!;
+      const c = this.replica.counts(id);
+      const waiting = job.tasks - c.done - c.running;
+      if (waiting > 0 && job.spec) jobs.push({ ...job, spec: job.spec, waiting });
+    }
+    const unmet: Unmet[] = [];
+    // GPU work first: the GPU machines' room is counted as its own before other work may have the rest.
+    const ordered = inOrder(jobs, this.settings.objectives, this.wall);
+    for (const job of [
+      ...ordered.filter((j) => j.spec.gpus > 0),
+      ...ordered.filter((j) => j.spec.gpus <= 0),
+    ]) {
+      const { spec } = job;
+      const shard = this.replica.shardOf(spec.team);
+      const kinds = this.kindsOf(shard);
+      const cap = teamCap(this.settings, spec.team);
+      const used = this.teamUse(spec.team);
+      const allowed = timesFits(spec, {
+        cpus: cap.cpus - used.cpus,
+        gpus: cap.gpus - used.gpus,
+        memGb: Infinity,
+      });
+      const left = Math.min(job.waiting, allowed);
+      if (spec.shape === 'gang' && left < job.waiting) continue;
+      used.cpus += left * spec.cpus;
+      used.gpus += left * spec.gpus;
+      for (const part of this.zoneParts(job, left, kinds)) {
+        let want = part.count;
+        const here = [...kinds.values()].filter(
+          (k) => mayUse(spec, k.type, k.zone, k.spot) && (part.zones === null || part.zones.includes(k.zone)),
+        );
+        for (const kind of here) want -= takeFrom(kind, spec, want);
+        const slack = this.slack(job);
+        want -= this.soon(spec, slack, want, here);
+        if (want > 0 && spec.shape === 'gang') this.keepFor(spec, shard, here, want);
+        if (want > 0) unmet.push({ spec, shard, count: want, zones: part.zones, slack });
+      }
+    }
+    return unmet;
+  }
+
+  /** The placement keeps the emptiest machines for a gang that finds no room; others must not count on them. */
+  private keepFor(spec: JobSpec, shard: number, here: RoomKind[], want: number): void {
+    let list = this.emptiest.get(shard);
+    if (!list) {
+      list = [];
+      for (const kind of this.kindsOf(shard).values())
+        for (const room of kind.rooms) if (room.tasks > 0) list.push({ room, kind });
+      list.sort((a, b) => b.room.cpus / b.room.type.cpus - a.room.cpus / a.room.type.cpus);
+      this.emptiest.set(shard, list);
+    }
+    const mine = new Set(here);
+    let left = want;
+    this.emptiest.set(
+      shard,
+      list.filter(({ room, kind }) => {
+        if (left <= 0 || !mine.has(kind)) return true;
+        left -= Math.max(1, timesFits(spec, room.type));
+        room.cpus = 0;
+        return false;
+      }),
+    );
+  }
+
+  /** Splits a job's waiting tasks by the zones they have to go to. */
+  private zoneParts(
+    job: WaitingJob,
+    count: number,
+    kinds: RoomKinds,
+  ): { count: number; zones: string[] | null }[] {
+    const { spec } = job;
+    if (spec.zone !== null || (!spec.oneZone && !spec.apart)) return [{ count, zones: null }];
+    const { zones } = this.settings;
+    const placed = new Map<string, number>();
+    for (const c of this.replica.chunks.get(job.id)?.values() ?? [])
+      for (const p of c.placed) {
+        const zone = this.replica.machines.get(p.host)?.zone;
+        if (zone !== undefined) placed.set(zone, (placed.get(zone) ?? 0) + 1);
+      }
+    const room = (zone: string): number => {
+      let n = 0;
+      for (const k of kinds.values())
+        if (k.zone === zone && mayUse(spec, k.type, k.zone, k.spot)) n += countIn(k, spec, count - n);
+      return n;
+    };
+    const obtainable = (zone: string): number =>
+      this.replica.types.some(
+        (t) => t.zones.includes(zone) && mayUse(spec, t, zone, false) && this.isOpen(t, zone, false),
+      )
+        ? 1
+        : 0;
+    if (spec.oneZone) {
+      const there = [...placed.keys()][0];
+      if (there !== undefined) return [{ count, zones: [there] }];
+      // Where it finds room whole; else where more can be had.
+      const known = zones.map((z) => ({ z, has: room(z), can: obtainable(z) }));
+      known.sort((a, b) => Number(b.has >= count) - Number(a.has >= count) || b.can - a.can || b.has - a.has);
+      return [{ count, zones: [known[0].z] }];
+    }
+    const parts: { count: number; zones: string[] | null }[] = [];
+    const open = zones
+      .map((z) => ({
+        z,
+        left: Math.max(0, zoneShare(spec.tasks) - (placed.get(z) ?? 0)),
+        has: room(z),
+        can: obtainable(z),
+      }))
+      .sort((a, b) => b.has - a.has || b.can - a.can);
+    let left = count;
+    for (const o of open) {
+      // Half and half, as far as the zones' shares go.
+      const n = Math.min(left, o.left, Math.max(Math.min(o.has, left), Math.ceil(count / 2)));
+      if (n > 0) parts.push({ count: n, zones: [o.z] });
+      left -= n;
+    }
+    return parts;
+  }
+
+  /**
+   * Time left for a job's last task to start and still be in time; for limitless work, its run time. Infinity:
+   * a machine rented now would come too late for it, so it may as well wait for those that are there.
+   */
+  private slack(job: WaitingJob): number {
+    const { spec } = job;
+    const limits = limitsOf(spec, this.settings.objectives);
+    const left = slackS(limits, (this.wall - job.at) / 1000, spec.estimateS);
+    if (limits.done.length + limits.started.length === 0) return Math.max(spec.estimateS, 1);
+    let reach = Infinity;
+    for (const t of this.replica.types)
+      if (typeAllowed(spec, t)) reach = Math.min(reach, t.bootS + fetchS(spec, t));
+    return Number.isFinite(left) && left >= reach ? left : Infinity;
+  }
+
+  /**
+   * How many of a job's tasks need no further machine because running tasks will make room in time. Part of
+   * the slack is kept for the image, for estimates that are too low, and for others who want the same room.
+   */
+  private soon(spec: JobSpec, slackOf: number, want: number, kinds: RoomKind[]): number {
+    if (want <= 0) return 0;
+    // The dearer the machine it takes, the longer running tasks are waited for.
+    const perCpu = (t: MachineType) => t.price / Math.max(t.cpus, 1);
+    const cheapest = Math.min(...this.replica.types.map(perCpu));
+    const dear = 1 - cheapest / anchorPrice(spec, this.replica.types, () => true);
+    const slack = slackOf * slackShare * (0.75 + dear / 4);
+    let served = 0;
+    for (const kind of kinds) {
+      const wait = Math.max(0, slack - fetchS(spec, kind.type));
+      for (const r of kind.rooms) {
+        if (served >= want) return served;
+        if (r.busy.cpus < spec.cpus || !gpuMachineOpen(spec, r.type, r.type.gpus - r.gpus)) continue;
+        const share = Math.min(1, wait / Math.max(r.runS, 1));
+        // Whole tasks only: a gang of large tasks must not count on crumbs.
+        const n = Math.min(want - served, Math.floor(timesFits(spec, r.busy) * share));
+        if (n <= 0) continue;
+        take(r.busy, spec, n);
+        served += n;
+      }
+    }
+    return served;
+  }
+}
+
+/** True if somebody who takes no more than this found the kind full already. */
+function isFull(kind: RoomKind, spec: JobSpec): boolean {
+  const f = kind.full.get(spec.gpus > 0);
+  return f !== undefined && f.cpus <= spec.cpus && f.gpus <= spec.gpus && f.memGb <= spec.memGb;
+}
+
+/** Takes room for up to `want` tasks; how many it was. */
+function takeFrom(kind: RoomKind, spec: JobSpec, want: number): number {
+  let got = 0;
+  if (want <= 0 || isFull(kind, spec)) return 0;
+  for (const room of kind.rooms) {
+    if (got >= want) return got;
+    if (!gpuMachineOpen(spec, room.type, room.type.gpus - room.gpus)) continue;
+    const n = Math.min(want - got, timesFits(spec, room));
+    if (n <= 0) continue;
+    take(room, spec, n);
+    got += n;
+  }
+  if (got < want) kind.full.set(spec.gpus > 0, { cpus: spec.cpus, gpus: spec.gpus, memGb: spec.memGb });
+  return got;
+}
+
+function countIn(kind: RoomKind, spec: JobSpec, most: number): number {
+  let n = 0;
+  if (most <= 0 || isFull(kind, spec)) return 0;
+  for (const room of kind.rooms) {
+    n += timesFits(spec, room);
+    if (n >= most) return most;
+  }
+  return n;
+}
+
+function take(room: Fits, need: Fits, n: number): void {
+  room.cpus -= n * need.cpus;
+  room.gpus -= n * need.gpus;
+  room.memGb -= n * need.memGb;
+}
+
+/** True for work that must not be put off for want of the machines it would rather have. */
+export const pressing = (u: Unmet, types: MachineType[]): boolean =>
+  isPremium(u.spec) && u.slack < Math.min(...types.map((t) => t.bootS + fetchS(u.spec, t)));
--- a/src/core/desk.ts
+++ b/src/core/desk.ts
@@ -162,7 +162,7 @@
     if (epoch === null) {
       for (const w of this.waiters) if (w.epoch === -1) this.later(w.rid, out);
       this.waiters = this.waiters.filter((w) => w.epoch !== -1);
-    } else if (epoch > this.replica.epoch) out.push({ e: 'catch-up', epoch });
+    }
   }
 
   pump(out: Effect[]): void {
--- a/src/core/dispatcher.ts
+++ b/src/core/dispatcher.ts
@@ -1,6 +1,6 @@
 import type { Operators } from '../config/operators.js';
 import type { Settings } from '../config/settings.js';
-import { pieceName, type JobSpec } from '../model/job.js';
+import { pieceName, urgencyRank, type JobSpec } from '../model/job.js';
 import { type Fits, type MachineType } from '../model/machine.js';
 import type { Order, Report, TaskPhase, TaskReport } from '../model/report.js';
 import { teamCap } from '../policy/admission.js';
@@ -38,7 +38,7 @@
   ranAt: number;
   placedAt: number;
   /** Wanted off its machine, with this much time to save. */
-  stop: { graceS: number; since: number; sent?: boolean } | null;
+  stop: { graceS: number; since: number } | null;
 }
 
 export interface Chunk {
@@ -50,8 +50,11 @@
   done: Bits;
   /** Version in memory, and the newest version known to be durable. */
   version: number;
+  /** The version that holds the newest placement. */
+  placed: number;
   durable: number;
-  queued: boolean;
+  /** Its write that waits or is under way. */
+  queued: { rank: Rank } | null;
   /** Not to be written before the view has reached this revision. */
   blockedUntil: number;
 }
@@ -83,6 +86,8 @@
   host: string;
   record: Machine;
   type: MachineType;
+  zone: string;
+  spot: boolean;
   used: Fits;
   placements: Map<string, Placement>;
   endpoint: string;
@@ -108,12 +113,24 @@
 }
 
 const ordersPerAnswer = 400;
+/** A placement round goes on for so many machines looked at, then lets others have their turn for this long. */
+const mostLookedAt = 6000;
+const sliceMs = 20;
+/** Ends of tasks gather for this share of a report interval before they are written. */
+const endPatience = 0.5;
 
 export class Dispatcher {
   readonly jobs = new Map<string, JobRun>();
   readonly machines = new Map<string, MachineRun>();
   readonly owned = new Set<number>();
   readonly teamUse = new Map<string, Fits>();
+  /** How many placements there are of each urgency's rank. */
+  readonly activeBy = new Map<number, number>();
+  /** Placements to be stopped whose workers have not been told straight away yet. */
+  private readonly unsentStops = new Set<Placement>();
+  /** The placement round under way. */
+  private round: Generator<number, void> | null = null;
+  private slicedAt = -Infinity;
   readonly hazard: HazardEstimate;
   private readonly chunkTasks: number;
   private lastRound = -Infinity;
@@ -176,6 +193,8 @@
       host: record.host,
       record,
       type,
+      zone: record.zone,
+      spot: record.spot,
       used: { cpus: 0, gpus: 0, memGb: 0 },
       placements: new Map(),
       endpoint: '',
@@ -239,8 +258,9 @@
         last: c?.last ?? 0,
         done: c?.done.copy() ?? new Bits(),
         version: 0,
+        placed: 0,
         durable: 0,
-        queued: false,
+        queued: null,
         blockedUntil: 0,
       });
       job.done += c?.done.count() ?? 0;
@@ -249,7 +269,7 @@
     for (const [n, c] of stored ?? [])
       for (const p of c.placed) {
         const placement = this.enter(job, job.chunks[n], p, false);
-        if (job.cancelled) placement.stop = { graceS: 0, since: this.clock.now };
+        if (job.cancelled) this.stop(placement, 0);
         // The machine has been given back: its task is gone with it.
         if (!this.replica.machines.has(p.host)) this.gone(placement, 'machine returned');
       }
@@ -282,7 +302,11 @@
       job.cancelled = true;
       for (const p of [...job.active.values()]) {
         if (p.own && p.sent === null) this.gone(p, 'cancelled before its start');
-        else p.stop = { graceS: 0, since: this.clock.now };
+        else {
+          // No saving for a cancelled task, also if it is being stopped in order already.
+          p.stop = null;
+          this.stop(p, 0);
+        }
       }
       this.checkCancelled(job);
     }
@@ -345,6 +369,8 @@
       use.gpus += sign * spec.gpus;
       use.memGb += sign * spec.memGb;
     }
+    const rank = urgencyRank[spec.urgency];
+    this.activeBy.set(rank, (this.activeBy.get(rank) ?? 0) + sign);
     const zone = m?.record.zone ?? this.replica.machines.get(p.host)?.zone;
     if (zone !== undefined) p.job.zones.set(zone, (p.job.zones.get(zone) ?? 0) + sign);
     if (m && m.placements.size === 0) m.idleSince = this.clock.now;
@@ -359,7 +385,7 @@
   /** Places tasks of one job together; they start once all of it is durable. */
   place(job: JobRun, at: { index: number; host: string }[], attempt?: number): void {
     const chunks = new Set(at.map((a) => this.chunkOf(job, a.index)));
-    for (const c of chunks) c.version++;
+    for (const c of chunks) c.placed = ++c.version;
     for (const a of at) {
       if (job.active.has(a.index)) {
         this.log('error', 'placed already', { piece: pieceName(job.id, a.index) });
@@ -407,7 +433,7 @@
     this.machines.get(p.host)?.placements.delete(pieceName(job.id, p.index));
     this.use(p, -1);
     chunk.version++;
-    this.queueChunk(job, chunk);
+    this.noteEnd(job, chunk);
     this.log('debug', 'task gone', {
       piece: pieceName(job.id, p.index),
       attempt: p.attempt,
@@ -436,7 +462,7 @@
     if (missing > 0 && job.active.size > 0) {
       if (!job.breaking) this.log('info', 'gang broken', { job: job.id, lost: lost?.index });
       job.breaking = true;
-      for (const p of job.active.values()) p.stop ??= { graceS: 0, since: this.clock.now };
+      for (const p of job.active.values()) this.stop(p, 0);
       for (const p of [...job.active.values()]) if (p.own && p.sent === null) this.gone(p, 'gang broken');
     }
     if (job.active.size === 0) job.breaking = false;
@@ -466,21 +492,25 @@
 
   // ---- durable changes ----
 
-  private queueChunk(job: JobRun, chunk: Chunk): void {
-    if (chunk.queued) return;
-    chunk.queued = true;
+  private queueChunk(job: JobRun, chunk: Chunk, rank = Rank.task): void {
+    if (chunk.queued !== null && chunk.queued.rank <= rank) return;
+    // Placements overtake ends: the intent queued for those finds nothing left to do.
+    const ticket = { rank };
+    chunk.queued = ticket;
+    this.ended.delete(chunk);
     let building = 0;
     this.committer.add({
-      rank: Rank.task,
+      rank,
       build: () => {
+        if (chunk.queued !== ticket) return null;
         const grant = this.replica.shards.get(job.shard);
         if (this.jobs.get(job.id) !== job || !grant || !this.owned.has(job.shard) || job.finishing) {
-          chunk.queued = false;
+          chunk.queued = null;
           return null;
         }
         if (this.replica.epoch < chunk.blockedUntil) {
           // Tried again when the view has caught up.
-          chunk.queued = false;
+          chunk.queued = null;
           this.blocked.push({ job, chunk });
           return null;
         }
@@ -502,13 +532,14 @@
         };
       },
       ok: (epoch) => {
-        chunk.queued = false;
+        if (chunk.queued === ticket) chunk.queued = null;
         chunk.stamp = epoch;
         chunk.durable = building;
-        if (chunk.version > building) this.queueChunk(job, chunk);
+        if (chunk.placed > building) this.queueChunk(job, chunk);
+        else if (chunk.version > building) this.noteEnd(job, chunk);
       },
       conflict: (failed, epoch) => {
-        chunk.queued = false;
+        if (chunk.queued === ticket) chunk.queued = null;
         this.log('info', 'task commit refused', { job: job.id, failed });
         chunk.blockedUntil = epoch;
         this.blocked.push({ job, chunk });
@@ -516,6 +547,24 @@
     });
   }
 
+  private readonly ended = new Map<Chunk, { job: JobRun; since: number }>();
+
+  /** An end is written with the chunk's next placement, or after a while with the others of its chunk. */
+  private noteEnd(job: JobRun, chunk: Chunk): void {
+    if (!chunk.queued && !this.ended.has(chunk)) this.ended.set(chunk, { job, since: this.clock.now });
+  }
+
+  private flushEnds(): void {
+    const patience = this.settings.workers.report_s * 1000 * endPatience;
+    for (const [chunk, e] of this.ended) {
+      // In order of age.
+      if (this.clock.now - e.since < patience) break;
+      this.ended.delete(chunk);
+      if (this.jobs.get(e.job.id) === e.job && chunk.durable < chunk.version)
+        this.queueChunk(e.job, chunk, Rank.cleanup);
+    }
+  }
+
   private blocked: { job: JobRun; chunk: Chunk }[] = [];
 
   /** Chunks whose write conflicted: once the view has caught up, go on from what is durable. */
@@ -709,8 +758,7 @@
     for (const p of m.placements.values()) {
       const { spec } = p.job;
       // What can save, saves; what cannot may still finish in time.
-      if (spec.checkpointS > 0 && spec.shape !== 'gang' && spec.saveS <= noticeS)
-        p.stop ??= { graceS: spec.saveS, since: this.clock.now };
+      if (spec.checkpointS > 0 && spec.shape !== 'gang' && spec.saveS <= noticeS) this.stop(p, spec.saveS);
       if (spec.shape === 'gang') this.stopGang(p.job);
     }
   }
@@ -718,7 +766,14 @@
   /** Stops a whole gang in order: every task gets time to save, all at about the same time. */
   stopGang(job: JobRun): void {
     job.breaking = true;
-    for (const p of job.active.values()) p.stop ??= { graceS: job.spec.saveS, since: this.clock.now };
+    for (const p of job.active.values()) this.stop(p, job.spec.saveS);
+  }
+
+  /** Wants a task off its machine, with time to save; one that is being stopped already stays as it is. */
+  stop(p: Placement, graceS: number): void {
+    if (p.stop !== null) return;
+    p.stop = { graceS, since: this.clock.now };
+    this.unsentStops.add(p);
   }
 
   private onError(m: MachineRun, job: JobRun): void {
@@ -738,8 +793,7 @@
     if (guilty.length >= 2 || (guilty.length >= 1 && m.errors >= 2)) {
       if (!m.condemned) this.log('warn', 'machine fails its tasks', { host: m.host, errors: m.errors });
       m.condemned = true;
-      for (const p of m.placements.values())
-        if (p.job.spec.shape !== 'gang') p.stop ??= { graceS: p.job.spec.saveS, since: now };
+      for (const p of m.placements.values()) if (p.job.spec.shape !== 'gang') this.stop(p, p.job.spec.saveS);
     } else m.avoidUntil = now + this.settings.workers.report_s * 4000;
   }
 
@@ -748,24 +802,30 @@
    * anybody, and a gang's tasks must hear of an orderly stop at about the same time.
    */
   private sendStops(out: Effect[]): void {
-    for (const m of this.machines.values()) {
-      if (m.endpoint === '' || m.provenAt === 0) continue;
-      const orders: Order[] = [];
-      for (const p of m.placements.values()) {
-        if (!p.stop || p.stop.sent || (p.sent === null && p.phase === 'placed')) continue;
-        p.stop.sent = true;
-        orders.push({ op: 'stop', job: p.job.id, index: p.index, attempt: p.attempt, graceS: p.stop.graceS });
+    if (this.unsentStops.size === 0) return;
+    const byMachine = new Map<MachineRun, Order[]>();
+    for (const p of this.unsentStops) {
+      const m = this.machines.get(p.host);
+      if (p.job.active.get(p.index) !== p || p.stop === null) {
+        this.unsentStops.delete(p);
+        continue;
       }
-      if (orders.length > 0)
-        out.push({
-          e: 'order',
-          host: m.host,
-          endpoint: m.endpoint,
-          token: m.token,
-          session: m.session,
-          orders: orders.slice(0, ordersPerAnswer),
-        });
+      if (!m || m.endpoint === '' || m.provenAt === 0 || (p.sent === null && p.phase === 'placed')) continue;
+      const orders = byMachine.get(m) ?? [];
+      if (orders.length >= ordersPerAnswer) continue;
+      this.unsentStops.delete(p);
+      byMachine.set(m, orders);
+      orders.push({ op: 'stop', job: p.job.id, index: p.index, attempt: p.attempt, graceS: p.stop.graceS });
     }
+    for (const [m, orders] of byMachine)
+      out.push({
+        e: 'order',
+        host: m.host,
+        endpoint: m.endpoint,
+        token: m.token,
+        session: m.session,
+        orders,
+      });
   }
 
   // ---- time ----
@@ -778,9 +838,18 @@
       if (this.lastSweep >= 0) this.sweep((now - this.lastSweep) / 1000);
       this.lastSweep = now;
     }
-    if (now - this.lastRound >= this.operators['round-s'] * 1000) {
+    this.flushEnds();
+    if (this.round === null && now - this.lastRound >= this.operators['round-s'] * 1000) {
       this.lastRound = now;
-      placeRound(this);
+      this.round = placeRound(this);
+    }
+    if (this.round !== null && now - this.slicedAt >= sliceMs) {
+      this.slicedAt = now;
+      for (let looked = 0; this.round !== null && looked < mostLookedAt;) {
+        const step = this.round.next();
+        if (step.done) this.round = null;
+        else looked += step.value;
+      }
     }
     this.sendStops(out);
   }
@@ -840,7 +909,7 @@
         const shard = standing === 'free' ? -1 : m.record.shard;
         return {
           when: [
-            { key, stamp: m.record.stamp },
+            { key, stamp: this.replica.stamp(key) },
             { key: shardKey(m.record.shard), stamp: grant.stamp },
           ],
           apply: [{ key, data: machineData({ ...m.record, shard, standing }) }],
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -32,6 +32,8 @@
   | { r: 'conflict'; failed: string[]; epoch: number }
   /** Certainly not executed. */
   | { r: 'refused' }
+  /** Certainly not executed: more was asked of the state service than it takes. */
+  | { r: 'busy' }
   /** A state lease named in it is no more. Certainly not executed. */
   | { r: 'unleased' }
   | { r: 'malformed' }
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,46 +1,33 @@
 import type { Operators } from '../config/operators.js';
 import type { Settings } from '../config/settings.js';
-import { isPremium, urgencyRank, zoneShare, type JobSpec } from '../model/job.js';
-import { fits, timesFits, type Fits, type MachineRecord, type MachineType } from '../model/machine.js';
+import { isPremium, urgencyRank } from '../model/job.js';
+import { timesFits, type MachineRecord, type MachineType } from '../model/machine.js';
 import type { Report } from '../model/report.js';
-import { teamCap, typeAllowed } from '../policy/admission.js';
-import { limitsOf, slackS } from '../policy/deadlines.js';
-import { spotAllowed } from '../policy/guardrails.js';
+import { typeAllowed } from '../policy/admission.js';
 import { score } from '../policy/helios.js';
 import type { ListedMachine, RentRequest } from '../wire/cloud.js';
+import type { Write } from '../wire/store.js';
 import { Rank, type Committer } from './committer.js';
+import { Demand, emptyRoom, kindOf, mayUse, pressing, slotName, type Unmet } from './demand.js';
 import type { Clock, Effect, Log } from './effects.js';
-import { leadKey, machineKey, typesKey } from './keys.js';
-import { machineData, typesData, type JobRecord } from './records.js';
-import { anchorPrice, candidate, fetchS, gpuMachineOpen, inOrder, weights } from './placement.js';
+import { blockKey, leadKey, machineKey, typesKey } from './keys.js';
+import { anchorPrice, candidate, fetchS, weights } from './placement.js';
+import { blockData, machineData, typesData } from './records.js';
 import type { Machine, Replica } from './replica.js';
 
-interface Unmet {
-  spec: JobSpec;
-  shard: number;
-  count: number;
-  /** The zones it may be met in; null: any. */
-  zones: string[] | null;
-  /** Time left for it to start, s. */
-  slack: number;
-}
-
-interface Room extends Fits {
-  /** Free only later, as running tasks end. */
-  busy: Fits;
-  /** How long the tasks on it run, on average, by their estimates. */
-  runS: number;
-  tasks: number;
-  host: string;
+/** A kind of machine in a zone that could be rented. */
+interface Slot {
   type: MachineType;
   zone: string;
   spot: boolean;
 }
 
 const mostPerRent = 50;
-/** Share of the slack in which running tasks may be waited for instead of renting. */
-const slackShare = 0.6;
 const mostPerDelete = 100;
+const listPage = 500;
+const returnEveryMs = 250;
+/** Of the cloud's request budget; the rest is slack for its clock and ours. */
+const budgetShare = 0.8;
 
 /**
  * The leader's care for the fleet: what to rent for which shard, whom to give free machines, what to return.
@@ -52,6 +39,7 @@
   private listAt = -Infinity;
   private listing = false;
   private planAt = -Infinity;
+  private returnedAt = -Infinity;
   private count = 0;
   private budget = 0;
   private budgetAt = -1;
@@ -60,6 +48,8 @@
   private readonly renting = new Map<string, { request: RentRequest; shard: number }>();
   private readonly deleting = new Set<string>();
   private readonly writing = new Set<string>();
+  /** Machines just rented whose block is still being written. */
+  private readonly recording = new Set<string>();
   private readonly absentSince = new Map<string, number>();
   private readonly heard = new Map<string, number>();
   hazardPerStep: () => number = () => 0;
@@ -90,7 +80,7 @@
     const now = this.clock.now;
     const rps = this.settings.cloud.rps;
     if (this.budgetAt < 0) this.budget = rps;
-    else this.budget = Math.min(rps, this.budget + (((now - this.budgetAt) / 1000) * rps) / 2);
+    else this.budget = Math.min(rps, this.budget + ((now - this.budgetAt) / 1000) * rps * budgetShare);
     this.budgetAt = now;
     if (!this.askingTypes && now - this.typesAt > this.typesEveryMs && this.spend()) {
       this.askingTypes = true;
@@ -101,9 +91,14 @@
     if (!this.listing && now - this.listAt > this.settings.cloud.list_lag_s * 1000 && this.spend()) {
       this.listing = true;
       this.listAt = now;
+      // Each further page is a call, too.
+      this.budget -= Math.floor(this.replica.machines.size / listPage);
       out.push({ e: 'list' });
     }
-    this.returnMachines(out);
+    if (now - this.returnedAt >= returnEveryMs) {
+      this.returnedAt = now;
+      this.returnMachines(out);
+    }
     while (this.askAgain.length > 0 && this.spend()) out.push({ e: 'rent', request: this.askAgain.shift()! });
     if (now - this.planAt >= 1000 && this.replica.shards.size > 0) {
       this.planAt = now;
@@ -139,7 +134,7 @@
         );
       });
     if (same) return;
-    this.write(typesKey, () => typesData(types));
+    this.change(typesKey, () => [{ key: typesKey, data: typesData(types) }]);
   }
 
   rented(request: RentRequest, outcome: { hosts: string[] } | 'none' | 'refused' | 'unknown'): void {
@@ -151,16 +146,7 @@
       this.log('info', 'rented', { ...request, hosts: outcome.hosts });
       this.refused.delete(slot);
       if (outcome.hosts.length < request.count) this.refused.set(slot, { at: now, times: 1 });
-      for (const host of outcome.hosts)
-        this.record({
-          host,
-          type: request.type,
-          zone: request.zone,
-          spot: request.spot,
-          shard: asked?.shard ?? -1,
-          standing: asked ? 'use' : 'free',
-          since: this.clock.wall,
-        });
+      this.recordBlock(request, outcome.hosts, asked?.shard);
       return;
     }
     if (outcome === 'none') {
@@ -176,11 +162,62 @@
 
   private askAgain: RentRequest[] = [];
 
+  /** One write for all machines of a rental: a fleet of hundreds must not wait for hundreds of writes. */
+  private recordBlock(request: RentRequest, hosts: string[], shard: number | undefined): void {
+    const { type, zone, spot } = request;
+    const since = this.clock.wall;
+    if (hosts.length === 0) return;
+    if (shard === undefined) {
+      for (const host of hosts) this.record({ host, type, zone, spot, shard: -1, standing: 'free', since });
+      return;
+    }
+    for (const host of hosts) this.recording.add(host);
+    this.change(
+      blockKey(request.name),
+      () => {
+        const key = blockKey(request.name);
+        const known = this.replica.stamp(key) > 0;
+        return known ? null : [{ key, data: blockData({ type, zone, spot, shard, since, hosts }) }];
+      },
+      () => {
+        for (const host of hosts) this.recording.delete(host);
+      },
+    );
+  }
+
   deleted(hosts: string[], ok: boolean): void {
+    const blocks = new Map<string, string[]>();
     for (const host of hosts) {
       this.deleting.delete(host);
-      if (ok && this.replica.machines.has(host)) this.write(machineKey(host), () => 'drop');
+      if (!ok || !this.replica.machines.has(host)) continue;
+      const block = this.replica.blockOf(host);
+      if (block === undefined) this.change(machineKey(host), () => this.dropMachine(host));
+      else blocks.set(block, [...(blocks.get(block) ?? []), host]);
     }
+    // A block and its machines' own records change together, as far as a transaction goes.
+    const most = this.settings.state.txn_ops - 1;
+    for (const [block, gone] of blocks)
+      for (let i = 0; i < gone.length; i += most) {
+        const part = new Set(gone.slice(i, i + most));
+        this.change(`${blockKey(block)} ${i}`, () => this.leaveBlock(block, part));
+      }
+  }
+
+  private dropMachine(host: string): Write[] | null {
+    const key = machineKey(host);
+    return this.replica.stamp(key) > 0 ? [{ key, data: undefined }] : null;
+  }
+
+  private leaveBlock(id: string, gone: ReadonlySet<string>): Write[] | null {
+    const block = this.replica.blocks.get(id);
+    if (!block) return null;
+    const hosts = block.hosts.filter((h) => !gone.has(h));
+    const apply: Write[] = [
+      // First, so that no machine falls back from its own record to its block's.
+      { key: blockKey(id), data: hosts.length > 0 ? blockData({ ...block, hosts }) : undefined },
+    ];
+    for (const host of gone) apply.push(...(this.dropMachine(host) ?? []));
+    return apply;
   }
 
   listed(machines: ListedMachine[] | null, askedAt: number): void {
@@ -196,7 +233,7 @@
       // Guards against the late rental: a machine that nobody recorded is taken in once it cannot be one
       // whose rental is being recorded just now.
       else if (!known && l.ageS > this.settings.cloud.list_lag_s && !this.deletedLately.has(l.host))
-        this.adopt(l);
+        if (!this.recording.has(l.host)) this.adopt(l);
     }
     const patience = this.settings.cloud.list_lag_s * 4000;
     for (const m of this.replica.machines.values()) {
@@ -228,6 +265,11 @@
   /** A worker that nobody knows reports to the leader. */
   unexpected(r: Report): void {
     if (this.deletedLately.has(r.host) || !this.replica.types.some((t) => t.name === r.type)) return;
+    // Guards against the fast boot: up before the rental's answer is here or recorded.
+    if (this.recording.has(r.host)) return;
+    const slot = slotName(r.type, r.zone, r.spot);
+    for (const { request } of this.renting.values())
+      if (slotName(request.type, request.zone, request.spot) === slot) return;
     this.adopt(r);
   }
 
@@ -238,44 +280,51 @@
   private condemn(m: Machine, why: string): void {
     if (m.standing === 'dead') return;
     this.log('info', 'machine given up', { host: m.host, why });
-    this.write(machineKey(m.host), () => {
-      const now = this.replica.machines.get(m.host);
-      return now ? machineData({ ...now, standing: 'dead' }) : null;
+    this.restand(m.host, (now) => ({ ...now, standing: 'dead' }));
+  }
+
+  /** Gives a machine a record of its own, made from how it stands when the write goes out. */
+  private restand(host: string, to: (now: Machine) => MachineRecord | null): void {
+    const key = machineKey(host);
+    this.change(key, () => {
+      const now = this.replica.machines.get(host);
+      const next = now ? to(now) : null;
+      return next && [{ key, data: machineData(next) }];
     });
   }
 
   private record(m: MachineRecord): void {
     const key = machineKey(m.host);
     if (this.replica.machines.has(m.host)) return;
-    this.write(key, () => machineData(m));
+    this.change(key, () => (this.replica.machines.has(m.host) ? null : [{ key, data: machineData(m) }]));
   }
 
-  /** Writes a key as the leader; a conflict means that the view was old, and the next plan decides anew. */
-  private write(key: string, data: () => Record<string, unknown> | 'drop' | null): void {
-    if (this.writing.has(key)) return;
-    this.writing.add(key);
-    const done = () => void this.writing.delete(key);
+  /**
+   * Changes keys as the leader; a conflict means that the view was old, and the next plan decides anew. One
+   * change at a time goes by the same name.
+   */
+  private change(name: string, build: () => Write[] | null, ended?: () => void): void {
+    if (this.writing.has(name)) return;
+    this.writing.add(name);
+    const done = () => {
+      this.writing.delete(name);
+      ended?.();
+    };
     this.committer.add({
       rank: Rank.fleet,
       build: () => {
         const lead = this.replica.lead;
-        const value = data();
-        const stamp = this.replica.stamp(key);
-        if (
-          !lead ||
-          lead.member !== this.settings.member ||
-          value === null ||
-          (value === 'drop' && stamp === 0)
-        ) {
+        const apply = lead?.member === this.settings.member ? build() : null;
+        if (!lead || apply === null) {
           done();
           return null;
         }
         return {
           when: [
-            { key, stamp },
+            ...apply.map((w) => ({ key: w.key, stamp: this.replica.stamp(w.key) })),
             { key: leadKey, stamp: lead.stamp },
           ],
-          apply: [{ key, data: value === 'drop' ? undefined : value }],
+          apply,
         };
       },
       ok: done,
@@ -313,16 +362,22 @@
   // ---- renting ----
 
   private plan(out: Effect[]): void {
-    const { rooms, free } = this.fleetRooms();
-    const unmet = this.unmetDemand(rooms);
+    const demand = new Demand(
+      this.settings,
+      this.operators,
+      this.replica,
+      this.clock.wall,
+      (type, zone, spot) => this.isOpen(type, zone, spot),
+    );
+    const free = this.countRooms(demand);
+    const unmet = demand.unmet();
     this.unwanted.clear();
-    for (const m of free) {
-      const type = this.replica.types.find((t) => t.name === m.type)!;
+    for (const { m, type } of free) {
       const user = unmet.find(
         (u) =>
           u.count > 0 &&
           (u.zones === null || u.zones.includes(m.zone)) &&
-          this.mayUse(u.spec, type, m.zone, m.spot),
+          mayUse(u.spec, type, m.zone, m.spot),
       );
       if (!user) {
         this.unwanted.add(m.host);
@@ -330,203 +385,31 @@
       }
       user.count -= timesFits(user.spec, type);
       this.log('info', 'assigning machine', { host: m.host, shard: user.shard });
-      this.write(machineKey(m.host), () => {
-        const now = this.replica.machines.get(m.host);
-        return now?.standing === 'free' ? machineData({ ...now, shard: user.shard, standing: 'use' }) : null;
-      });
-    }
-    for (const u of unmet) {
-      // Renting for one job may leave room that serves the next: counted again in the next plan.
-      if (u.count <= 0) continue;
-      if (!this.rentFor(u, out)) break;
+      this.restand(m.host, (now) =>
+        now.standing === 'free' ? { ...now, shard: user.shard, standing: 'use' } : null,
+      );
     }
+    this.rentAll(unmet, out);
   }
 
-  private mayUse(spec: JobSpec, type: MachineType, zone: string, spot: boolean): boolean {
-    return (
-      typeAllowed(spec, type) && (spec.zone === null || spec.zone === zone) && (!spot || spotAllowed(spec))
-    );
-  }
-
-  /** Room on all machines that are up or coming, placements taken off. */
-  private fleetRooms(): { rooms: Map<number, Room[]>; free: Machine[] } {
-    const byHost = new Map<string, Room>();
-    const rooms = new Map<number, Room[]>();
-    const free: Machine[] = [];
+  /** Fills in the rooms of all machines that are up or coming; returns those that are with the leader. */
+  private countRooms(demand: Demand): { m: Machine; type: MachineType }[] {
+    const free: { m: Machine; type: MachineType }[] = [];
     const types = new Map(this.replica.types.map((t) => [t.name, t]));
-    const add = (shard: number, room: Room) => {
-      if (!rooms.has(shard)) rooms.set(shard, []);
-      rooms.get(shard)!.push(room);
-    };
-    const roomOf = (host: string, type: MachineType, zone: string, spot: boolean): Room => ({
-      busy: { cpus: 0, gpus: 0, memGb: 0 },
-      runS: 0,
-      tasks: 0,
-      host,
-      type,
-      zone,
-      spot,
-      cpus: type.cpus * (1 - this.operators.headroom),
-      gpus: type.gpus,
-      memGb: type.memGb,
-    });
     for (const m of this.replica.machines.values()) {
       const type = types.get(m.type);
       if (!type || m.standing === 'dead' || this.deleting.has(m.host)) continue;
-      if (m.standing === 'free') {
-        if (!this.writing.has(machineKey(m.host))) free.push(m);
-        continue;
-      }
-      const room = roomOf(m.host, type, m.zone, m.spot);
-      byHost.set(m.host, room);
-      add(m.shard, room);
+      if (m.standing === 'use') demand.addMachine(m, type);
+      else if (!this.writing.has(machineKey(m.host))) free.push({ m, type });
     }
-    for (const { request, shard } of this.renting.values())
-      for (let i = 0; i < request.count; i++)
-        add(shard, roomOf('', types.get(request.type)!, request.zone, request.spot));
-    for (const [id, chunks] of this.replica.chunks) {
-      const job = this.replica.jobs.get(id);
-      const need = job?.spec ?? job?.use;
-      if (!need) continue;
-      const runS = job?.spec ? (job.spec.shape === 'service' ? Infinity : job.spec.estimateS) : 0;
-      for (const c of chunks.values())
-        for (const p of c.placed) {
-          const room = byHost.get(p.host);
-          if (!room) continue;
-          take(room, need, 1);
-          take(room.busy, need, -1);
-          room.runS = (room.runS * room.tasks + runS) / (room.tasks + 1);
-          room.tasks++;
-        }
+    for (const { request, shard } of this.renting.values()) {
+      const type = types.get(request.type);
+      if (!type) continue;
+      const { rooms } = kindOf(demand.kindsOf(shard), type, request.zone, request.spot);
+      for (let i = 0; i < request.count; i++) rooms.push(emptyRoom(type, this.operators.headroom));
     }
-    return { rooms, free };
-  }
-
-  /** What waits and finds no room on the machines of its shard, in placement order. */
-  private unmetDemand(rooms: Map<number, Room[]>): Unmet[] {
-    const jobs: (JobRecord & { spec: JobSpec; waiting: number })[] = [];
-    const teams = new Map<string, { cpus: number; gpus: number }>();
-    for (const [id, chunks] of this.replica.chunks) {
-      const job = this.replica.jobs.get(id);
-      const need = job?.spec ?? job?.use;
-      if (!need) continue;
-      const t = teams.get(need.team) ?? { cpus: 0, gpus: 0 };
-      let n = 0;
-      for (const c of chunks.values()) n += c.placed.length;
-      t.cpus += n * need.cpus;
-      t.gpus += n * need.gpus;
-      teams.set(need.team, t);
-    }
-    for (const id of this.replica.open) {
-      const job = this.replica.jobs.get(id)!;
-      const c = this.replica.counts(id);
-      const waiting = job.tasks - c.done - c.running;
-      if (waiting > 0 && job.spec) jobs.push({ ...job, spec: job.spec, waiting });
-    }
-    const unmet: Unmet[] = [];
-    // GPU work first: the GPU machines' room is counted as its own before other work may have the rest.
-    const ordered = inOrder(jobs, this.settings.objectives, this.clock.wall);
-    for (const job of [
-      ...ordered.filter((j) => j.spec.gpus > 0),
-      ...ordered.filter((j) => j.spec.gpus <= 0),
-    ]) {
-      const { spec } = job;
-      const shard = this.replica.shardOf(spec.team);
-      const cap = teamCap(this.settings, spec.team);
-      const used = teams.get(spec.team) ?? { cpus: 0, gpus: 0 };
-      teams.set(spec.team, used);
-      const allowed = timesFits(spec, {
-        cpus: cap.cpus - used.cpus,
-        gpus: cap.gpus - used.gpus,
-        memGb: Infinity,
-      });
-      const left = Math.min(job.waiting, allowed);
-      if (spec.shape === 'gang' && left < job.waiting) continue;
-      used.cpus += left * spec.cpus;
-      used.gpus += left * spec.gpus;
-      for (const part of this.zoneParts(job, left, rooms.get(shard) ?? [])) {
-        let want = part.count;
-        const here = (rooms.get(shard) ?? []).filter(
-          (r) =>
-            this.mayUse(spec, r.type, r.zone, r.spot) &&
-            (part.zones === null || part.zones.includes(r.zone)) &&
-            gpuMachineOpen(spec, r.type, r.type.gpus - r.gpus),
-        );
-        for (const room of here) {
-          if (want <= 0) break;
-          const n = Math.min(want, timesFits(spec, room));
-          if (n <= 0) continue;
-          take(room, spec, n);
-          want -= n;
-        }
-        want -= this.soon(job, want, here);
-        // The placement keeps the emptiest machines for a gang that finds no room; others must not count on them.
-        if (want > 0 && spec.shape === 'gang') {
-          const busiest = here
-            .filter((r) => r.tasks > 0)
-            .sort((a, b) => b.cpus / b.type.cpus - a.cpus / a.type.cpus);
-          for (let i = 0, n = want; n > 0 && i < busiest.length; i++) {
-            n -= Math.max(1, timesFits(spec, busiest[i].type));
-            busiest[i].cpus = 0;
-          }
-        }
-        if (want > 0) unmet.push({ spec, shard, count: want, zones: part.zones, slack: this.slack(job) });
-      }
-    }
-    return unmet;
-  }
-
-  /** Splits a job's waiting tasks by the zones they have to go to. */
-  private zoneParts(
-    job: JobRecord & { spec: JobSpec },
-    count: number,
-    rooms: Room[],
-  ): { count: number; zones: string[] | null }[] {
-    const { spec } = job;
-    if (spec.zone !== null || (!spec.oneZone && !spec.apart)) return [{ count, zones: null }];
-    const zones = [...this.settings.zones];
-    const placed = new Map<string, number>();
-    for (const c of this.replica.chunks.get(job.id)?.values() ?? [])
-      for (const p of c.placed) {
-        const zone = this.replica.machines.get(p.host)?.zone;
-        if (zone !== undefined) placed.set(zone, (placed.get(zone) ?? 0) + 1);
-      }
-    const room = (zone: string): number => {
-      let n = 0;
-      for (const r of rooms)
-        if (r.zone === zone && this.mayUse(spec, r.type, r.zone, r.spot)) n += timesFits(spec, r);
-      return n;
-    };
-    const obtainable = (zone: string): number =>
-      this.replica.types.some(
-        (t) => t.zones.includes(zone) && this.mayUse(spec, t, zone, false) && this.isOpen(t, zone, false),
-      )
-        ? 1
-        : 0;
-    if (spec.oneZone) {
-      const there = [...placed.keys()][0];
-      if (there !== undefined) return [{ count, zones: [there] }];
-      const known = zones.map((z) => ({ z, has: Math.min(room(z), count), can: obtainable(z) }));
-      known.sort((a, b) => Number(b.has >= count) - Number(a.has >= count) || b.can - a.can || b.has - a.has);
-      return [{ count, zones: [known[0].z] }];
-    }
-    const parts: { count: number; zones: string[] | null }[] = [];
-    const open = zones
-      .map((z) => ({
-        z,
-        left: Math.max(0, zoneShare(spec.tasks) - (placed.get(z) ?? 0)),
-        has: room(z),
-        can: obtainable(z),
-      }))
-      .sort((a, b) => b.has - a.has || b.can - a.can);
-    let left = count;
-    for (const o of open) {
-      // Half and half, as far as the zones' shares go.
-      const n = Math.min(left, o.left, Math.max(Math.min(o.has, left), Math.ceil(count / 2)));
-      if (n > 0) parts.push({ count: n, zones: [o.z] });
-      left -= n;
-    }
-    return parts;
+    demand.takePlaced();
+    return free;
   }
 
   private isOpen(type: MachineType, zone: string, spot: boolean): boolean {
@@ -537,122 +420,80 @@
     return this.clock.now - refusal.at > rest;
   }
 
-  /**
-   * Time left for a job's last task to start and still be in time; for limitless work, its run time. Infinity:
-   * a machine rented now would come too late for it, so it may as well wait for those that are there.
-   */
-  private slack(job: JobRecord & { spec: JobSpec }): number {
-    const { spec } = job;
-    const limits = limitsOf(spec, this.settings.objectives);
-    const left = slackS(limits, (this.clock.wall - job.at) / 1000, spec.estimateS);
-    if (limits.done.length + limits.started.length === 0) return Math.max(spec.estimateS, 1);
-    const reach = this.replica.types
-      .filter((t) => typeAllowed(spec, t))
-      .map((t) => t.bootS + fetchS(spec, t));
-    return Number.isFinite(left) && left >= Math.min(...reach) ? left : Infinity;
+  private refusalMs(type: string): number {
+    const boot = this.replica.types.find((t) => t.name === type)?.bootS ?? 30;
+    return boot * 1000 * (this.operators['idle-boots'] || 1) * 0.5;
   }
 
   /**
-   * How many of a job's tasks need no further machine because running tasks will make room in time. Part of
-   * the slack is kept for the image, for estimates that are too low, and for others who want the same room.
+   * Rents what the unmet tasks take. Jobs that would have the same machines share a request: calls are few, and
+   * a fleet of hundreds must come up within some seconds.
    */
-  private soon(job: JobRecord & { spec: JobSpec }, want: number, rooms: Room[]): number {
-    const { spec } = job;
-    // The dearer the machine it takes, the longer running tasks are waited for.
-    const perCpu = (t: MachineType) => t.price / Math.max(t.cpus, 1);
-    const cheapest = Math.min(...this.replica.types.map(perCpu));
-    const dear = 1 - cheapest / anchorPrice(spec, this.replica.types, () => true);
-    const slack = this.slack(job) * slackShare * (0.75 + dear / 4);
-    let served = 0;
-    for (const r of rooms) {
-      if (served >= want) break;
-      const fetch = fetchS(spec, r.type);
-      const share = Math.min(1, Math.max(0, slack - fetch) / Math.max(r.runS, 1));
-      // Whole tasks only: a gang of large tasks must not count on crumbs.
-      const n = Math.min(want - served, Math.floor(timesFits(spec, r.busy) * share));
-      if (n <= 0) continue;
-      take(r.busy, spec, n);
-      served += n;
+  private rentAll(unmet: Unmet[], out: Effect[]): void {
+    const perZone = new Map<string, number>();
+    for (const m of this.replica.machines.values()) perZone.set(m.zone, (perZone.get(m.zone) ?? 0) + 1);
+    const wanted = new Map<string, { slot: Slot; shard: number; machines: number; u: Unmet }>();
+    for (const u of unmet) {
+      if (u.count <= 0) continue;
+      const slot = this.bestSlot(u, perZone);
+      if (!slot) continue;
+      const key = `${u.shard} ${slotName(slot.type.name, slot.zone, slot.spot)}`;
+      let want = wanted.get(key);
+      if (!want) wanted.set(key, (want = { slot, shard: u.shard, machines: 0, u }));
+      // Small tasks of several jobs share machines.
+      const machines = u.count / timesFits(u.spec, slot.type);
+      want.machines += machines;
+      perZone.set(slot.zone, (perZone.get(slot.zone) ?? 0) + machines);
     }
-    return served;
-  }
-
-  private refusalMs(type: string): number {
-    const boot = this.replica.types.find((t) => t.name === type)?.bootS ?? 30;
-    return boot * 1000 * (this.operators['idle-boots'] || 1) * 0.5;
+    for (const { slot, shard, machines, u } of wanted.values())
+      for (let left = Math.ceil(machines - 1e-6); left > 0; left -= mostPerRent) {
+        if (!this.spend()) return;
+        const request: RentRequest = {
+          name: `r-${this.replica.lead!.stamp}-${++this.count}`,
+          type: slot.type.name,
+          zone: slot.zone,
+          spot: slot.spot,
+          count: Math.min(mostPerRent, left),
+        };
+        this.renting.set(request.name, { request, shard });
+        this.log('info', 'renting', { ...request, job: u.spec.id, urgency: urgencyRank[u.spec.urgency] });
+        out.push({ e: 'rent', request });
+      }
   }
 
-  /** Rents what a job's unmet tasks take, by the policy's score. False: no budget left for now. */
-  private rentFor(u: Unmet, out: Effect[]): boolean {
+  /** The best kind of machine to rent for a job's unmet tasks, by the policy's score; null: none is to be had. */
+  private bestSlot(u: Unmet, perZone: ReadonlyMap<string, number>): Slot | null {
     const { spec } = u;
     const open = (type: MachineType, zone: string, spot: boolean) =>
       this.isOpen(type, zone, spot) && (u.zones === null || u.zones.includes(zone));
     // Premium stays anchored to a type that can be had; if none can, to the cheapest that fits.
     let anchor = anchorPrice(spec, this.replica.types, (t) => t.zones.some((z) => open(t, z, false)));
     if (!Number.isFinite(anchor)) anchor = anchorPrice(spec, this.replica.types, () => true);
-    const options: { type: MachineType; zone: string; spot: boolean; s: number }[] = [];
     // The dearest machines are not rented for work that others can do, unless it is premium, in a hurry, and
     // nothing else is to be had.
     const plain = this.replica.types.filter((t) => t.gpus <= 0 && typeAllowed(spec, t));
     const obtainable = plain.some((t) => t.zones.some((z) => open(t, z, false) || open(t, z, true)));
-    const gpuToo =
-      spec.gpus > 0 ||
-      plain.length === 0 ||
-      (isPremium(spec) && !obtainable && u.slack < Math.min(...plain.map((t) => t.bootS + fetchS(spec, t))));
-    const perZone = new Map<string, number>();
-    for (const m of this.replica.machines.values()) perZone.set(m.zone, (perZone.get(m.zone) ?? 0) + 1);
-    for (const type of this.replica.types)
+    const gpuToo = spec.gpus > 0 || plain.length === 0 || (!obtainable && pressing(u, plain));
+    // Spreads machines over zones; a tie-break only, however large the fleet.
+    const balance = 1e-4 / [...perZone.values()].reduce((a, b) => a + b, 1);
+    let best: (Slot & { s: number }) | null = null;
+    for (const type of this.replica.types) {
+      if (type.gpus > 0 && !gpuToo) continue;
+      const per = timesFits(spec, type);
+      if (per < 1) continue;
+      // Only the CPUs that the tasks will use bring something: the price is for those.
+      const useful = Math.min(1, (Math.min(per, u.count) * Math.max(spec.cpus, 0.01)) / type.cpus);
       for (const zone of type.zones)
         for (const spot of [false, true]) {
-          if (!this.mayUse(spec, type, zone, spot) || !open(type, zone, spot)) continue;
-          if (type.gpus > 0 && !gpuToo) continue;
-          const per = timesFits(spec, type);
-          if (per < 1 || !fits(spec, type)) continue;
-          // Only the CPUs that the tasks will use bring something: the price is for those.
-          const useful = Math.min(1, (Math.min(per, u.count) * Math.max(spec.cpus, 0.01)) / type.cpus);
-          const c = candidate(
-            type,
-            spot,
-            this.hazardPerStep(),
-            true,
-            type.cpus,
-            type.bootS + fetchS(spec, type),
-          );
+          if (!mayUse(spec, type, zone, spot) || !open(type, zone, spot)) continue;
+          const delayS = type.bootS + fetchS(spec, type);
+          const c = candidate(type, spot, this.hazardPerStep(), true, type.cpus, delayS);
           c.price /= useful;
-          const s =
-            score({ premium: isPremium(spec), cpus: spec.cpus }, c, anchor, weights(this.operators)) -
-            1e-5 * (perZone.get(zone) ?? 0);
-          options.push({ type, zone, spot, s });
+          const work = { premium: isPremium(spec), cpus: spec.cpus };
+          const s = score(work, c, anchor, weights(this.operators)) - balance * (perZone.get(zone) ?? 0);
+          if (best === null || s > best.s) best = { type, zone, spot, s };
         }
-    options.sort((a, b) => b.s - a.s);
-    const best = options[0];
-    if (!best) return true;
-    if (!this.spend()) return false;
-    const per = timesFits(spec, best.type);
-    const request: RentRequest = {
-      name: `r-${this.replica.lead!.stamp}-${++this.count}`,
-      type: best.type.name,
-      zone: best.zone,
-      spot: best.spot,
-      count: Math.min(mostPerRent, Math.ceil(u.count / per)),
-    };
-    this.renting.set(request.name, { request, shard: u.shard });
-    this.log('info', 'renting', {
-      ...request,
-      job: spec.id,
-      unmet: u.count,
-      urgency: urgencyRank[spec.urgency],
-    });
-    out.push({ e: 'rent', request });
-    return true;
+    }
+    return best;
   }
 }
-
-const slotName = (type: string, zone: string, spot: boolean): string =>
-  `${type} ${zone} ${spot ? 'spot' : ''}`;
-
-function take(room: Fits, need: Fits, n: number): void {
-  room.cpus -= n * need.cpus;
-  room.gpus -= n * need.gpus;
-  room.memGb -= n * need.memGb;
-}
--- a/src/core/keys.ts
+++ b/src/core/keys.ts
@@ -5,6 +5,8 @@
 export const teamsKey = 'dp/teams';
 export const nodeKey = (member: string): string => `dp/node/${member}`;
 export const shardKey = (shard: number): string => `dp/shard/${shard}`;
+/** The machines of one rental. */
+export const blockKey = (block: string): string => `dp/b/${block}`;
 export const machineKey = (host: string): string => `dp/m/${host}`;
 export const jobKey = (id: string): string => `dp/j/${id}`;
 export const chunkKey = (id: string, chunk: number): string => `dp/t/${id}/${chunk}`;
@@ -13,6 +15,7 @@
   | { kind: 'lead' | 'types' | 'teams' }
   | { kind: 'node'; member: string }
   | { kind: 'shard'; shard: number }
+  | { kind: 'block'; block: string }
   | { kind: 'machine'; host: string }
   | { kind: 'job'; id: string }
   | { kind: 'chunk'; id: string; chunk: number };
@@ -23,6 +26,7 @@
   if (a === undefined) return kind === 'lead' || kind === 'types' || kind === 'teams' ? { kind } : null;
   if (kind === 'node') return { kind, member: a };
   if (kind === 'shard') return { kind, shard: Number(a) };
+  if (kind === 'b') return { kind: 'block', block: a };
   if (kind === 'm') return { kind: 'machine', host: a };
   if (kind === 'j') return { kind: 'job', id: a };
   if (kind === 't' && b !== undefined) return { kind: 'chunk', id: a, chunk: Number(b) };
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -7,6 +7,7 @@
 import type { Objective } from '../config/settings.js';
 import { lateness, limitsOf, slackS } from '../policy/deadlines.js';
 import type { Operators } from '../config/operators.js';
+import { Openings } from './openings.js';
 
 export const weights = (o: Operators): Weights => ({
   hazard: o['hazard-weight'],
@@ -87,70 +88,114 @@
 /** Estimates are often wrong by half: a job counts as late only if even half of its estimate is too long. */
 const estimateShare = 0.5;
 
-/** One placement round over all shards of this node. */
-export function placeRound(d: Dispatcher): void {
-  const now = d.clock.now;
+/** Scans for tasks to preempt are dear: so many jobs get one in a round. */
+const mostPreemptions = 16;
+
+/** What a round keeps for each shard. */
+interface ShardRound {
+  openings: Openings<MachineRun>;
+  /** All machines that may be used, also full ones, emptiest first. */
+  all: MachineRun[];
+}
+
+/**
+ * One placement round over all shards of this node, in steps: it yields how many machines it has looked at
+ * since, so that reports and requests need not wait for all of it. Between two steps jobs and machines may
+ * change; each is looked at anew when its turn comes.
+ */
+export function* placeRound(d: Dispatcher): Generator<number, void> {
   const waiting = inOrder(
-    [...d.jobs.values()].filter(
-      (j) => !j.cancelled && !j.finishing && !j.breaking && j.notBefore <= now && d.waitingCount(j) > 0,
-    ),
+    [...d.jobs.values()].filter((j) => placeable(d, j)),
     d.settings.objectives,
     d.clock.wall,
   );
   const keep = gpuShare(waiting);
+  const least = { cpus: Infinity, gpus: 0, memGb: Infinity };
+  for (const { spec } of waiting) {
+    least.cpus = Math.min(least.cpus, spec.cpus);
+    least.memGb = Math.min(least.memGb, spec.memGb);
+  }
+  const shards = new Map<number, ShardRound>();
+  let preemptions = 0;
   // Machines kept for a gang that found no room: nothing of lower order goes there.
   const reserved = new Set<string>();
   for (const job of waiting) {
-    const machines = eligible(d, job).filter((m) => !reserved.has(m.host));
+    if (!placeable(d, job) || d.jobs.get(job.id) !== job) continue;
+    let round = shards.get(job.shard);
+    if (!round) shards.set(job.shard, (round = openShard(d, job.shard, least)));
+    const { openings } = round;
+    const count = d.waitingCount(job);
     if (job.spec.shape === 'gang') {
-      if (placeGang(d, job, machines, keep)) continue;
-      reserve(d, job, machines, reserved);
-    } else placeEach(d, job, machines, keep);
-    if (d.waitingCount(job) > 0 && job.active.size === 0) preempt(d, job, machines, reserved);
+      if (!openings.hopeless(job.spec, count) && placeGang(d, job, openings, keep)) {
+        yield openings.looked;
+        openings.looked = 0;
+        continue;
+      }
+      if (gangMayWait(d, job)) reserve(d, job, round, reserved);
+    } else if (!openings.hopeless(job.spec, count)) placeEach(d, job, openings, keep);
+    if (d.waitingCount(job) > 0 && job.active.size === 0 && preemptions < mostPreemptions)
+      if (preempt(d, job, round, reserved)) preemptions++;
+    yield openings.looked;
+    openings.looked = 0;
   }
   moveOff(d);
 }
 
-/** Machines of the job's shard that may take its tasks, best first. */
-function eligible(d: Dispatcher, job: JobRun): MachineRun[] {
-  const { spec } = job;
-  const now = d.clock.now;
-  const stale = d.settings.workers.report_s * 2500;
+const placeable = (d: Dispatcher, j: JobRun): boolean =>
+  !j.cancelled && !j.finishing && !j.breaking && j.notBefore <= d.clock.now && d.waitingCount(j) > 0;
+
+function openShard(d: Dispatcher, shard: number, least: Fits): ShardRound {
+  const all: MachineRun[] = [];
+  for (const m of d.machines.values()) if (m.record.shard === shard && usable(d, m)) all.push(m);
+  const openings = new Openings(all, (m) => roomOf(d, m), least);
+  all.sort((a, b) => a.used.cpus / a.type.cpus - b.used.cpus / b.type.cpus);
+  return { openings, all };
+}
+
+/** Whether a machine may take tasks at all now. */
+function usable(d: Dispatcher, m: MachineRun): boolean {
+  const { now } = d.clock;
+  return (
+    m.record.standing === 'use' &&
+    !m.condemned &&
+    !m.releasing &&
+    m.provenAt !== 0 &&
+    now - m.heardAt <= d.settings.workers.report_s * 2500 &&
+    m.noticeAt === 0 &&
+    m.avoidUntil <= now
+  );
+}
+
+/** Whether a machine may take a job's tasks, as far as its place and the job's past there decide. */
+const openTo = (job: JobRun, m: MachineRun): boolean =>
+  !job.errors.has(m.host) &&
+  (job.spec.zone === null || job.spec.zone === m.zone) &&
+  gpuMachineOpen(job.spec, m.type, m.used.gpus);
+
+/** The policy's score of a kind of machine for a job, before tie-breaks between single machines. */
+export function kindScore(
+  d: Dispatcher,
+  spec: JobSpec,
+): (type: MachineType, spot: boolean, image: boolean) => number {
   const anchor = anchorPrice(spec, d.replica.types, () => true);
   const hazard = d.hazard.perStep(d.operators['hazard-step-s']);
   const w = weights(d.operators);
   const work = { premium: isPremium(spec), cpus: spec.cpus };
-  const scored: { m: MachineRun; s: number }[] = [];
-  for (const m of d.machines.values()) {
-    if (m.record.shard !== job.shard || m.record.standing !== 'use' || m.condemned || m.releasing) continue;
-    if (m.provenAt === 0 || now - m.heardAt > stale || m.noticeAt > 0 || m.avoidUntil > now) continue;
-    if (job.errors.has(m.host) || !typeAllowed(spec, m.type)) continue;
-    if (spec.zone !== null && spec.zone !== m.record.zone) continue;
-    if (m.record.spot && !spotAllowed(spec)) continue;
-    const delayS = m.images.has(spec.image) ? 0 : fetchS(spec, m.type);
-    const room = roomOf(d, m);
-    if (!gpuMachineOpen(spec, m.type, m.type.gpus - room.gpus)) continue;
+  return (type, spot, image) =>
     // A leased machine is there already, also when it stands idle: only one to be rented is fresh.
-    const c = candidate(m.type, m.record.spot, hazard, false, room.cpus, delayS);
-    // Fuller machines first, so that the others run empty and can be returned.
-    scored.push({ m, s: score(work, c, anchor, w) + packing * fullness(m.type, room) });
-  }
-  return scored.sort((a, b) => b.s - a.s).map((x) => x.m);
+    score(work, candidate(type, spot, hazard, false, 0, image ? 0 : fetchS(spec, type)), anchor, w);
 }
 
+/** Machines of the job's shard that may take its tasks and have room for any waiting task, best first. */
+const eligible = (d: Dispatcher, job: JobRun, openings: Openings<MachineRun>): Generator<MachineRun> =>
+  openings.best(job.spec, kindScore(d, job.spec), (m) => usable(d, m) && openTo(job, m));
+
 export const roomOf = (d: Dispatcher, m: MachineRun): Fits => ({
   cpus: m.type.cpus * (1 - d.operators.headroom) - m.used.cpus,
   gpus: m.type.gpus - m.used.gpus,
   memGb: m.type.memGb - m.used.memGb,
 });
 
-/** Tie-break among machines of like score; far below any price difference that matters. */
-const packing = 1e-4;
-
-/** How full a machine is, by what is scarcest on it. */
-const fullness = (type: MachineType, room: Fits): number =>
-  type.gpus > 0 ? 1 - room.gpus / type.gpus : 1 - room.cpus / type.cpus;
-
 /**
  * A guardrail of ours: work without GPUs goes to a GPU machine only as company for GPU tasks. Alone it would
  * keep the dearest machines rented for work that cheaper ones can do.
@@ -194,70 +239,94 @@
   };
 }
 
-function placeEach(d: Dispatcher, job: JobRun, machines: MachineRun[], keep: GpuShare | null): void {
+function placeEach(d: Dispatcher, job: JobRun, openings: Openings<MachineRun>, keep: GpuShare | null): void {
   const { spec } = job;
   let left = Math.min(d.waitingCount(job), timesFits(spec, d.teamRoom(spec.team)));
   // A job that only ever failed is tried one task at a time.
   if (job.errors.size >= 2 && job.successes === 0) left = Math.min(left, job.active.size === 0 ? 1 : 0);
+  if (left <= 0) return;
   const at: { index: number; host: string }[] = [];
   const taken = new Map(job.zones);
-  for (const m of machines) {
+  for (const m of eligible(d, job, openings)) {
     let n = Math.min(left - at.length, timesFits(spec, keptRoom(spec, roomOf(d, m), keep)));
-    for (; n > 0 && zoneOpen(spec, m.record.zone, taken); n--) {
+    for (; n > 0 && zoneOpen(spec, m.zone, taken); n--) {
       const index = d.nextWaiting(job);
       if (index < 0) break;
       at.push({ index, host: m.host });
-      taken.set(m.record.zone, (taken.get(m.record.zone) ?? 0) + 1);
+      taken.set(m.zone, (taken.get(m.zone) ?? 0) + 1);
     }
     if (at.length >= left) break;
   }
   if (at.length > 0) d.place(job, at);
+  openings.changed(new Set(at.map((a) => a.host)));
+  if (at.length < left && job.errors.size === 0) openings.failed(spec);
 }
 
-/** A gang is placed whole in one round or not at all. */
-function placeGang(d: Dispatcher, job: JobRun, machines: MachineRun[], keep: GpuShare | null): boolean {
+/** False: the gang waits for something else than room. */
+const gangMayWait = (d: Dispatcher, job: JobRun): boolean =>
+  job.active.size === 0 && timesFits(job.spec, d.teamRoom(job.spec.team)) >= d.waitingCount(job);
+
+/** A gang is placed whole in one round or not at all. False: it found no room. */
+function placeGang(
+  d: Dispatcher,
+  job: JobRun,
+  openings: Openings<MachineRun>,
+  keep: GpuShare | null,
+): boolean {
   const { spec } = job;
   const need = d.waitingCount(job);
   // Tasks of an earlier attempt hold their machines and zones until they are proven gone.
-  if (job.active.size > 0) return true;
-  if (timesFits(spec, d.teamRoom(spec.team)) < need) return true;
-  const zones = spec.oneZone ? [...new Set(machines.map((m) => m.record.zone))] : [null];
-  for (const zone of zones) {
-    const hosts: string[] = [];
-    const taken = new Map<string, number>();
-    for (const m of machines) {
-      if (zone !== null && m.record.zone !== zone) continue;
-      const room = timesFits(spec, keptRoom(spec, roomOf(d, m), keep));
-      for (let i = 0; i < room && hosts.length < need && zoneOpen(spec, m.record.zone, taken); i++) {
-        hosts.push(m.host);
-        taken.set(m.record.zone, (taken.get(m.record.zone) ?? 0) + 1);
-      }
-      if (hosts.length >= need) break;
+  if (!gangMayWait(d, job)) return true;
+  const hosts = new Map<string | null, string[]>();
+  const taken = new Map<string | null, Map<string, number>>();
+  const most = new Map<string, number>();
+  let total = 0;
+  for (const m of eligible(d, job, openings)) {
+    const zone = spec.oneZone ? m.zone : null;
+    const room = timesFits(spec, keptRoom(spec, roomOf(d, m), keep));
+    if (room === 0) continue;
+    total += room;
+    most.set(m.zone, (most.get(m.zone) ?? 0) + room);
+    if (!hosts.has(zone)) {
+      hosts.set(zone, []);
+      taken.set(zone, new Map());
     }
-    if (hosts.length < need) continue;
+    const mine = hosts.get(zone)!;
+    const zones = taken.get(zone)!;
+    for (let i = 0; i < room && mine.length < need && zoneOpen(spec, m.zone, zones); i++) {
+      mine.push(m.host);
+      zones.set(m.zone, (zones.get(m.zone) ?? 0) + 1);
+    }
+    if (mine.length < need) continue;
     const at: { index: number; host: string }[] = [];
-    for (const host of hosts) {
+    for (const host of mine) {
       const index = d.nextWaiting(job);
       if (index >= 0) at.push({ index, host });
     }
     d.place(job, at, d.nextGangAttempt(job));
+    openings.changed(new Set(mine));
     return true;
   }
+  if (job.errors.size === 0) openings.failed(spec, Math.max(0, ...most.values()), total);
   return false;
 }
 
 /** Keeps for a gang the machines that will have room soonest, so that small tasks do not starve it. */
-function reserve(d: Dispatcher, job: JobRun, machines: MachineRun[], reserved: Set<string>): void {
+function reserve(d: Dispatcher, job: JobRun, round: ShardRound, reserved: Set<string>): void {
   const { spec } = job;
   let need = d.waitingCount(job);
-  const busy = machines
-    .filter((m) => fits(spec, m.type))
-    .sort((a, b) => a.used.cpus / a.type.cpus - b.used.cpus / b.type.cpus);
-  for (const m of busy) {
+  const mine = new Set<string>();
+  for (const m of round.all) {
     if (need <= 0) break;
+    round.openings.looked++;
+    if (!typeAllowed(spec, m.type) || (m.spot && !spotAllowed(spec)) || !openTo(job, m)) continue;
     need -= timesFits(spec, m.type);
+    mine.add(m.host);
     reserved.add(m.host);
   }
+  if (mine.size === 0) return;
+  round.openings.remove(mine);
+  round.all = round.all.filter((m) => !mine.has(m.host));
 }
 
 /** Whether a waiting job may have a running task stopped (the protocol's "Preemption"). */
@@ -284,30 +353,34 @@
 
 /**
  * Makes room for a job that neither a free place nor a machine rented now would serve in time, by stopping
- * the tasks that lose least. Machines where room is being made are kept for it.
+ * the tasks that lose least. Machines where room is being made are kept for it. False: not looked for.
  */
-function preempt(d: Dispatcher, job: JobRun, machines: MachineRun[], reserved: Set<string>): void {
+function preempt(d: Dispatcher, job: JobRun, round: ShardRound, reserved: Set<string>): boolean {
   const { spec } = job;
   const now = d.clock.now;
+  const entitled = withinGuarantee(d, job);
+  const lower = [...d.activeBy].some(([u, n]) => n > 0 && u < urgencyRank[spec.urgency]);
+  if (!entitled && !lower) return false;
   const limits = limitsOf(spec, d.settings.objectives);
   const ageS = (d.clock.wall - job.at) / 1000;
   const slack = slackS(limits, ageS, spec.estimateS);
-  const entitled = withinGuarantee(d, job);
   let need = d.waitingCount(job);
   if (spec.shape !== 'gang') need = Math.min(need, 1);
-  if (timesFits(spec, d.teamRoom(spec.team)) < need || machines.length === 0) return;
-  const bootS = Math.min(...machines.map((m) => m.type.bootS + fetchS(spec, m.type)));
+  if (timesFits(spec, d.teamRoom(spec.team)) < need) return false;
+  const kinds = d.replica.types.filter((t) => typeAllowed(spec, t));
+  const bootS = Math.min(...kinds.map((t) => t.bootS + fetchS(spec, t)));
   const hurry = Number.isFinite(slack) ? slack : 2 * bootS - ageS;
-  if (hurry > bootS + 2 * d.settings.workers.report_s) return;
+  if (hurry > bootS + 2 * d.settings.workers.report_s) return false;
   const plans: { m: MachineRun; victims: Placement[]; lost: number }[] = [];
-  for (const m of machines) {
-    if (!fits(spec, m.type)) continue;
+  const loss = (p: Placement): number =>
+    p.stop !== null || p.ranAt === 0 ? 0 : ((now - p.ranAt) / 1000) * Math.max(p.job.spec.cpus, 0.1);
+  for (const m of round.all) {
+    round.openings.looked++;
+    if (!typeAllowed(spec, m.type) || (m.spot && !spotAllowed(spec)) || !openTo(job, m)) continue;
     const room = roomOf(d, m);
     const victims: Placement[] = [];
     let lost = 0;
     const all = [...m.placements.values()].filter((p) => p.stop !== null || mayStop(d, job, p, entitled));
-    const loss = (p: Placement): number =>
-      p.stop !== null || p.ranAt === 0 ? 0 : ((now - p.ranAt) / 1000) * Math.max(p.job.spec.cpus, 0.1);
     all.sort((a, b) => loss(a) - loss(b));
     for (const p of all) {
       if (fits(spec, room)) break;
@@ -322,15 +395,20 @@
     if (fits(spec, room)) plans.push({ m, victims, lost });
   }
   plans.sort((a, b) => a.lost - b.lost);
-  if (plans.length < need) return;
+  if (plans.length < need) return true;
+  const kept = new Set<string>();
   for (const plan of plans.slice(0, need)) {
+    kept.add(plan.m.host);
     reserved.add(plan.m.host);
     for (const p of plan.victims)
       if (p.stop === null) {
         d.log('info', 'preempting', { job: p.job.id, index: p.index, host: p.host, for: job.id });
-        p.stop = { graceS: p.job.spec.saveS, since: now };
+        d.stop(p, p.job.spec.saveS);
       }
   }
+  round.openings.remove(kept);
+  round.all = round.all.filter((m) => !kept.has(m.host));
+  return true;
 }
 
 /**
@@ -362,12 +440,25 @@
         ) <= 0
       )
         continue;
-      const target = eligible(d, p.job).some((t) => !t.record.spot && fits(spec, roomOf(d, t)));
-      if (!target) continue;
-      p.stop = { graceS: spec.saveS, since: now };
+      if (!freePlaceOffSpot(d, p.job)) continue;
+      d.stop(p, spec.saveS);
       budget--;
       d.movedAt = now;
       d.log('info', 'moving off spot', { job: p.job.id, index: p.index, host: m.host });
     }
   }
 }
+
+function freePlaceOffSpot(d: Dispatcher, job: JobRun): boolean {
+  for (const m of d.machines.values())
+    if (
+      m.record.shard === job.shard &&
+      !m.spot &&
+      typeAllowed(job.spec, m.type) &&
+      fits(job.spec, roomOf(d, m)) &&
+      usable(d, m) &&
+      openTo(job, m)
+    )
+      return true;
+  return false;
+}
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -54,6 +54,8 @@
   /** The highest attempt number ever used in this chunk. */
   last: number;
   done: Bits;
+  /** How many are done. */
+  doneCount: number;
   placed: Placed[];
   stamp: number;
 }
@@ -114,7 +116,7 @@
   };
 }
 
-export const chunkData = (c: Omit<ChunkRecord, 'stamp'>): Data => ({
+export const chunkData = (c: Pick<ChunkRecord, 'last' | 'done' | 'placed'>): Data => ({
   n: c.last,
   d: c.done.toString(),
   p: c.placed.map((p) => [p.index, p.attempt, p.host]),
@@ -122,9 +124,11 @@
 
 export function readChunk(data: unknown, stamp: number): ChunkRecord {
   const d = data as { n: number; d: string; p: [number, number, string][] };
+  const done = Bits.from(d.d);
   return {
     last: d.n,
-    done: Bits.from(d.d),
+    done,
+    doneCount: done.count(),
     placed: d.p.map(([index, attempt, host]) => ({ index, attempt, host })),
     stamp,
   };
@@ -151,6 +155,30 @@
   return { host, type: d.f, zone: d.y, spot: d.l, shard: d.s, standing: d.st, since: d.at };
 }
 
+/** A rental's machines: one write for all of them. Those that stand otherwise have a record of their own. */
+export interface BlockRecord {
+  type: string;
+  zone: string;
+  spot: boolean;
+  shard: number;
+  since: number;
+  hosts: string[];
+}
+
+export const blockData = (b: BlockRecord): Data => ({
+  f: b.type,
+  y: b.zone,
+  l: b.spot,
+  s: b.shard,
+  at: b.since,
+  h: b.hosts,
+});
+
+export function readBlock(data: unknown): BlockRecord {
+  const d = data as { f: string; y: string; l: boolean; s: number; at: number; h: string[] };
+  return { type: d.f, zone: d.y, spot: d.l, shard: d.s, since: d.at, hosts: d.h };
+}
+
 export const typesData = (types: MachineType[]): Data => ({ types });
 export const readTypes = (data: unknown): MachineType[] => (data as { types: MachineType[] }).types;
 
--- a/src/core/replica.ts
+++ b/src/core/replica.ts
@@ -1,12 +1,14 @@
 import type { MachineRecord, MachineType } from '../model/machine.js';
 import type { Change } from '../wire/store.js';
-import { prefix, readKey } from './keys.js';
+import { machineKey, prefix, readKey } from './keys.js';
 import {
+  readBlock,
   readChunk,
   readJob,
   readMachine,
   readTeams,
   readTypes,
+  type BlockRecord,
   type ChunkRecord,
   type JobRecord,
   type NodeRecord,
@@ -37,7 +39,11 @@
   teamsStamp = 0;
   readonly nodes = new Map<string, NodeRecord>();
   readonly shards = new Map<number, ShardRecord>();
+  /** Every machine: by its own record, or else as its block says. */
   readonly machines = new Map<string, Machine>();
+  readonly blocks = new Map<string, BlockRecord>();
+  /** Which block a machine came with, and the revision at which it did. */
+  private readonly origins = new Map<string, { block: string; stamp: number }>();
   readonly jobs = new Map<string, JobRecord>();
   readonly open = new Set<string>();
   readonly chunks = new Map<string, Map<number, ChunkRecord>>();
@@ -66,7 +72,10 @@
   }
 
   advance(changes: Change[], epoch: number): void {
-    for (const change of changes) this.apply(change);
+    // Guards against the overtaken answer: up to `epoch` everything was seen, and an older put must not bring a
+    // dropped key back.
+    const seen = this.epoch;
+    for (const change of changes) if (change.stamp > seen) this.apply(change);
     this.follow(epoch);
   }
 
@@ -120,12 +129,14 @@
         this.listener.shardChanged(ref.shard);
         break;
       }
-      case 'machine': {
+      case 'block':
+        this.applyBlock(ref.block, here ? readBlock(data) : null, stamp);
+        break;
+      case 'machine':
         if (here) this.machines.set(ref.host, { ...readMachine(ref.host, data), stamp });
         else this.machines.delete(ref.host);
-        this.listener.machineChanged(ref.host, this.machines.get(ref.host));
+        this.settleMachine(ref.host);
         break;
-      }
       case 'job': {
         if (here) this.jobs.set(ref.id, readJob(ref.id, data, stamp));
         else this.jobs.delete(ref.id);
@@ -149,6 +160,39 @@
     }
   }
 
+  private applyBlock(id: string, block: BlockRecord | null, stamp: number): void {
+    const before = this.blocks.get(id)?.hosts ?? [];
+    if (block) this.blocks.set(id, block);
+    else this.blocks.delete(id);
+    const now = new Set(block?.hosts);
+    for (const host of before)
+      if (!now.has(host)) {
+        this.origins.delete(host);
+        if (this.stamp(machineKey(host)) === 0 && this.machines.delete(host)) this.settleMachine(host);
+      }
+    for (const host of now)
+      if (!this.origins.has(host)) {
+        // Rewritten when machines leave it: the others came under their owner when it was first written.
+        this.origins.set(host, { block: id, stamp });
+        if (this.stamp(machineKey(host)) === 0) this.settleMachine(host);
+      }
+  }
+
+  /** A machine without a record of its own stands as its block says. */
+  private settleMachine(host: string): void {
+    const origin = this.origins.get(host);
+    const block = origin && this.blocks.get(origin.block);
+    if (block && this.stamp(machineKey(host)) === 0) {
+      const { type, zone, spot, shard, since } = block;
+      this.machines.set(host, { host, type, zone, spot, shard, since, standing: 'use', stamp: origin.stamp });
+    }
+    this.listener.machineChanged(host, this.machines.get(host));
+  }
+
+  blockOf(host: string): string | undefined {
+    return this.origins.get(host)?.block;
+  }
+
   shardOf(team: string): number {
     return this.teams.findIndex((teams) => teams.includes(team));
   }
@@ -170,7 +214,7 @@
     let done = 0;
     let running = 0;
     for (const c of this.chunks.get(id)?.values() ?? []) {
-      done += c.done.count();
+      done += c.doneCount;
       running += c.placed.length;
     }
     return { done, running };
--- a/src/policy/deadlines.ts
+++ b/src/policy/deadlines.ts
@@ -11,6 +11,17 @@
 }
 
 export function limitsOf(spec: JobSpec, objectives: Objective[]): Limits {
+  const known = remembered.get(spec);
+  if (known?.objectives === objectives) return known.limits;
+  const limits = findLimits(spec, objectives);
+  remembered.set(spec, { objectives, limits });
+  return limits;
+}
+
+/** Neither a job's description nor the objectives change, and every round asks for every job. */
+const remembered = new WeakMap<JobSpec, { objectives: Objective[]; limits: Limits }>();
+
+function findLimits(spec: JobSpec, objectives: Objective[]): Limits {
   const done = new Set<number>();
   const started = new Set<number>();
   if (spec.deadlineS !== null) done.add(spec.deadlineS);
@@ -37,8 +48,8 @@
 
 /** Time left until the next limit that can still be kept, for starting the last task; Infinity: none. */
 export function slackS(limits: Limits, ageS: number, runS: number): number {
-  const left = [...limits.done.map((l) => l - runS - ageS), ...limits.started.map((l) => l - ageS)].filter(
-    (x) => x >= 0,
-  );
-  return left.length > 0 ? Math.min(...left) : Infinity;
+  let least = Infinity;
+  for (const l of limits.done) if (l - runS - ageS >= 0) least = Math.min(least, l - runS - ageS);
+  for (const l of limits.started) if (l - ageS >= 0) least = Math.min(least, l - ageS);
+  return least;
 }
--- a/src/service.ts
+++ b/src/service.ts
@@ -40,14 +40,13 @@
     this.run = run;
     this.store = new Store(settings.endpoints.state);
     this.cloud = new Cloud(settings.endpoints.cloud);
-    // Watches may use about a tenth of the request budget that is this node's share.
+    // Polls may use about a third of the request budget that is this node's share.
     const share = settings.state.rps / (1 + settings.peers.length);
-    this.follower = new Follower(
-      this.store,
-      Math.max(50, 1000 / (share / 6)),
-      (items, epoch) => this.push({ c: 'loaded', items, epoch }),
-      (changes, epoch) => this.push({ c: 'changes', changes, epoch }),
-    );
+    this.follower = new Follower(this.store, 1000 / (share / 3), () => performance.now(), {
+      loaded: (items, epoch) => this.push({ c: 'loaded', items, epoch }),
+      changed: (changes, epoch) => this.push({ c: 'changes', changes, epoch }),
+      read: (sentAt, epoch) => this.push({ c: 'epoch', sentAt, epoch }),
+    });
     this.front = new PublicServer(
       (c) => this.push(c),
       () => this.controller.healthy,
@@ -138,11 +137,9 @@
       case 'commit':
         void this.store.commit(e.txn).then((outcome) => this.push({ c: 'committed', outcome }));
         break;
-      case 'epoch': {
-        const sentAt = performance.now();
-        void this.store.epoch().then((epoch) => this.push({ c: 'epoch', sentAt, epoch }));
+      case 'epoch':
+        this.follower.ask();
         break;
-      }
       case 'catch-up':
         this.follower.hurry(e.epoch);
         break;
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -1,5 +1,5 @@
 import type { CommitOutcome } from '../core/effects.js';
-import { leadKey, prefix } from '../core/keys.js';
+import { prefix } from '../core/keys.js';
 import { HttpClient } from '../net/client.js';
 import {
   leaseOut,
@@ -17,7 +17,7 @@
 
 const timeoutMs = 2000;
 const pageItems = 1000;
-const watchMs = 10_000;
+const watchMs = 2000;
 
 /** The state service as the core sees it. */
 export class Store {
@@ -26,7 +26,7 @@
 
   constructor(addr: string) {
     this.calls = new HttpClient(addr, 6);
-    this.watches = new HttpClient(addr, 2);
+    this.watches = new HttpClient(addr, 3);
   }
 
   async commit(txn: Txn): Promise<CommitOutcome> {
@@ -44,13 +44,8 @@
       const why = (r.body as { error?: unknown } | null)?.error;
       return { r: why === 'no such lease' ? 'unleased' : 'malformed' };
     }
-    return r.status === 429 || r.status === 503 ? { r: 'refused' } : { r: 'unknown' };
-  }
-
-  /** The state's present revision. */
-  async epoch(): Promise<number | null> {
-    const r = await this.calls.call('GET', `/kv/${leadKey}/epoch`, null, timeoutMs / 2);
-    return r?.status === 404 ? parseEpoch(r.body) : null;
+    if (r.status === 429) return { r: 'busy' };
+    return r.status === 503 ? { r: 'refused' } : { r: 'unknown' };
   }
 
   async lease(ttlMs: number): Promise<number | null> {
@@ -82,32 +77,64 @@
     }
   }
 
-  /** Changes after a revision; 'old' if the service has forgotten them; null if it gave none. */
-  async watch(from: number): Promise<{ changes: Change[]; epoch: number } | 'old' | null> {
-    const r = await this.watches.call('GET', watchPath(prefix, from, watchMs), null, watchMs + timeoutMs * 2);
+  /**
+   * Changes after a revision, at once or as soon as there are any; 'old' if the service has forgotten them; null
+   * if it gave none.
+   */
+  async changes(from: number, blockMs: number): Promise<Changes | 'old' | 'busy' | null> {
+    const path = watchPath(prefix, from, blockMs);
+    const r = await this.watches.call('GET', path, null, blockMs + timeoutMs);
     if (r?.status === 410) return 'old';
+    if (r?.status === 429) return 'busy';
     return r?.status === 200 ? parseLog(r.body) : null;
   }
 }
 
-/** Follows the state: reads it whole, then watches it, pausing between watches to save requests. */
+interface Changes {
+  changes: Change[];
+  epoch: number;
+}
+
+/** What the follower hands on. A reading tells that the view was complete at `sentAt` once it has reached `epoch`. */
+export interface FollowerEvents {
+  loaded(items: Change[], epoch: number): void;
+  changed(changes: Change[], epoch: number): void;
+  read(sentAt: number, epoch: number | null): void;
+}
+
+/**
+ * Follows the state: reads it whole, then its changes. While somebody waits for a fresh view it asks for them
+ * over and over, which tells the present revision and brings the view there in one request; otherwise it leaves
+ * a watch open. `everyMs` apart at least: the request budget is shared by all controllers.
+ */
 export class Follower {
-  private wake: (() => void) | null = null;
-  private wanted = -1;
   private from = -1;
+  private wanted = -1;
+  private asked = false;
+  private polling = false;
+  private polledAt = -Infinity;
+  private timer: NodeJS.Timeout | null = null;
+  private wake: (() => void) | null = null;
 
   constructor(
     private readonly store: Store,
-    private readonly pauseMs: number,
-    private readonly loaded: (items: Change[], epoch: number) => void,
-    private readonly changed: (changes: Change[], epoch: number) => void,
+    private readonly everyMs: number,
+    private readonly now: () => number,
+    private readonly events: FollowerEvents,
   ) {}
 
-  /** Somebody waits for this revision: no pause before the next watch. */
+  /** Somebody waits for this revision. */
   hurry(epoch: number): void {
     if (epoch <= this.from) return;
     this.wanted = Math.max(this.wanted, epoch);
+    this.ask();
+  }
+
+  /** Somebody waits for a view that is as new as now. */
+  ask(): void {
+    this.asked = true;
     this.wake?.();
+    if (this.from >= 0) this.schedule();
   }
 
   async run(): Promise<never> {
@@ -115,36 +142,65 @@
       if (this.from < 0) {
         const all = await this.store.load();
         if (all === null) {
-          await this.pause(this.pauseMs * 3);
+          if (this.asked) this.events.read(this.now(), null);
+          await this.pause(this.everyMs * 4);
           continue;
         }
         this.from = all.epoch;
-        this.loaded(all.items, all.epoch);
+        this.events.loaded(all.items, all.epoch);
       }
-      const r = await this.store.watch(this.from);
-      if (r === 'old') {
-        this.from = -1;
+      // Polls bring the changes as long as they follow each other; a watch beside them would bring them twice.
+      if (this.polling || this.timer !== null) {
+        await this.pause(this.everyMs);
         continue;
       }
-      if (r === null) {
-        await this.pause(this.pauseMs * 2);
-        continue;
-      }
-      this.from = Math.max(this.from, r.epoch);
-      this.changed(r.changes, r.epoch);
-      if (this.wanted <= this.from) await this.pause(this.pauseMs);
+      await this.take(watchMs);
+      await this.pause(this.everyMs * 2);
+    }
+  }
+
+  private schedule(): void {
+    if (this.polling || this.timer !== null) return;
+    this.timer = setTimeout(
+      () => {
+        this.timer = null;
+        void this.poll();
+      },
+      Math.max(0, this.polledAt + this.everyMs - this.now()),
+    );
+  }
+
+  private async poll(): Promise<void> {
+    this.polling = true;
+    this.asked = false;
+    this.polledAt = this.now();
+    await this.take(0);
+    this.polling = false;
+    if (this.from >= 0 && (this.asked || this.wanted > this.from)) this.schedule();
+  }
+
+  private async take(blockMs: number): Promise<void> {
+    const sentAt = this.now();
+    const r = await this.store.changes(this.from, blockMs);
+    if (r === 'old') this.from = -1;
+    else if (r === 'busy') this.asked = true;
+    else if (r === null) {
+      if (blockMs === 0) this.events.read(sentAt, null);
+    } else {
+      if (this.from >= 0) this.from = Math.max(this.from, r.epoch);
+      this.events.changed(r.changes, r.epoch);
+      this.events.read(sentAt, r.epoch);
     }
   }
 
   private pause(ms: number): Promise<void> {
     return new Promise((resolve) => {
-      const timer = setTimeout(done, ms);
-      const self = this as Follower;
-      function done() {
+      const done = (): void => {
         clearTimeout(timer);
-        self.wake = null;
+        this.wake = null;
         resolve();
-      }
+      };
+      const timer = setTimeout(done, ms);
       this.wake = done;
     });
   }
