--- a/src/core/demand.ts
+++ b/src/core/demand.ts
@@ -1,6 +1,6 @@
 import type { Operators } from '../config/operators.js';
 import type { Settings } from '../config/settings.js';
-import { isPremium, zoneShare, type JobSpec } from '../model/job.js';
+import { zoneShare, type JobSpec } from '../model/job.js';
 import { timesFits, type Fits, type MachineType } from '../model/machine.js';
 import { teamCap, typeAllowed } from '../policy/admission.js';
 import { limitsOf, slackS } from '../policy/deadlines.js';
@@ -335,7 +335,3 @@
   room.gpus -= n * need.gpus;
   room.memGb -= n * need.memGb;
 }
-
-/** True for work that must not be put off for want of the machines it would rather have. */
-export const pressing = (u: Unmet, types: MachineType[]): boolean =>
-  isPremium(u.spec) && u.slack < Math.min(...types.map((t) => t.bootS + fetchS(u.spec, t)));
--- a/src/core/dispatcher.ts
+++ b/src/core/dispatcher.ts
@@ -879,6 +879,51 @@
         this.release(m, 'free', 'idle');
     }
     this.hazard.observe(spot, elapsedS);
+    if (now - this.summedAt >= w.lease_s * 500) {
+      this.summedAt = now;
+      this.summarize();
+    }
+  }
+
+  private summedAt = 0;
+
+  /** For operators: how the fleet is used and what waits. */
+  private summarize(): void {
+    const fleet: Record<string, { up: number; coming: number; idle: number; cpus: number; gpus: number }> =
+      {};
+    for (const m of this.machines.values()) {
+      const f = (fleet[`${m.type.name}${m.spot ? ' spot' : ''}`] ??= {
+        up: 0,
+        coming: 0,
+        idle: 0,
+        cpus: 0,
+        gpus: 0,
+      });
+      if (m.provenAt === 0) f.coming++;
+      else f.up++;
+      if (m.provenAt > 0 && m.placements.size === 0) f.idle++;
+      f.cpus += m.used.cpus / m.type.cpus;
+      if (m.type.gpus > 0) f.gpus += m.used.gpus / m.type.gpus;
+    }
+    for (const f of Object.values(fleet)) {
+      f.cpus = Math.round((100 * f.cpus) / (f.up + f.coming)) / 100;
+      f.gpus = Math.round((100 * f.gpus) / (f.up + f.coming)) / 100;
+    }
+    const jobs: Record<
+      string,
+      { jobs: number; waiting: number; placed: number; fetching: number; running: number }
+    > = {};
+    for (const j of this.jobs.values()) {
+      const c = (jobs[j.spec.class] ??= { jobs: 0, waiting: 0, placed: 0, fetching: 0, running: 0 });
+      c.jobs++;
+      c.waiting += this.waitingCount(j);
+      for (const p of j.active.values()) {
+        if (p.phase === 'running') c.running++;
+        else if (p.phase === 'placed') c.placed++;
+        else c.fetching++;
+      }
+    }
+    this.log('info', 'summary', { fleet, jobs });
   }
 
   /**
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -8,10 +8,10 @@
 import type { ListedMachine, RentRequest } from '../wire/cloud.js';
 import type { Write } from '../wire/store.js';
 import { Rank, type Committer } from './committer.js';
-import { Demand, emptyRoom, kindOf, mayUse, pressing, slotName, type Unmet } from './demand.js';
+import { Demand, emptyRoom, kindOf, mayUse, slotName, type Unmet } from './demand.js';
 import type { Clock, Effect, Log } from './effects.js';
 import { blockKey, leadKey, machineKey, typesKey } from './keys.js';
-import { anchorPrice, candidate, fetchS, weights } from './placement.js';
+import { anchorPrice, candidate, fetchS, gpuMachineOpen, weights } from './placement.js';
 import { blockData, machineData, typesData } from './records.js';
 import type { Machine, Replica } from './replica.js';
 
@@ -45,7 +45,8 @@
   private budgetAt = -1;
   /** Slots that were refused: when last, and how often in a row. */
   private readonly refused = new Map<string, { at: number; times: number }>();
-  private readonly renting = new Map<string, { request: RentRequest; shard: number }>();
+  /** Requests whose machines are not recorded yet, and how many those are, as far as known. */
+  private readonly renting = new Map<string, { request: RentRequest; shard: number; coming: number }>();
   private readonly deleting = new Set<string>();
   private readonly writing = new Set<string>();
   /** Machines just rented whose block is still being written. */
@@ -142,7 +143,6 @@
     const slot = slotName(request.type, request.zone, request.spot);
     const now = this.clock.now;
     if (typeof outcome === 'object') {
-      this.renting.delete(request.name);
       this.log('info', 'rented', { ...request, hosts: outcome.hosts });
       this.refused.delete(slot);
       if (outcome.hosts.length < request.count) this.refused.set(slot, { at: now, times: 1 });
@@ -166,6 +166,10 @@
   private recordBlock(request: RentRequest, hosts: string[], shard: number | undefined): void {
     const { type, zone, spot } = request;
     const since = this.clock.wall;
+    const asked = this.renting.get(request.name);
+    // Guards against renting the same again while the record is on its way: until then it counts as coming.
+    if (asked && hosts.length > 0) asked.coming = hosts.length;
+    else this.renting.delete(request.name);
     if (hosts.length === 0) return;
     if (shard === undefined) {
       for (const host of hosts) this.record({ host, type, zone, spot, shard: -1, standing: 'free', since });
@@ -180,6 +184,7 @@
         return known ? null : [{ key, data: blockData({ type, zone, spot, shard, since, hosts }) }];
       },
       () => {
+        this.renting.delete(request.name);
         for (const host of hosts) this.recording.delete(host);
       },
     );
@@ -377,7 +382,9 @@
         (u) =>
           u.count > 0 &&
           (u.zones === null || u.zones.includes(m.zone)) &&
-          mayUse(u.spec, type, m.zone, m.spot),
+          mayUse(u.spec, type, m.zone, m.spot) &&
+          // The placement would leave it idle.
+          gpuMachineOpen(u.spec, type, 0),
       );
       if (!user) {
         this.unwanted.add(m.host);
@@ -402,11 +409,11 @@
       if (m.standing === 'use') demand.addMachine(m, type);
       else if (!this.writing.has(machineKey(m.host))) free.push({ m, type });
     }
-    for (const { request, shard } of this.renting.values()) {
+    for (const { request, shard, coming } of this.renting.values()) {
       const type = types.get(request.type);
       if (!type) continue;
       const { rooms } = kindOf(demand.kindsOf(shard), type, request.zone, request.spot);
-      for (let i = 0; i < request.count; i++) rooms.push(emptyRoom(type, this.operators.headroom));
+      for (let i = 0; i < coming; i++) rooms.push(emptyRoom(type, this.operators.headroom));
     }
     demand.takePlaced();
     return free;
@@ -455,7 +462,7 @@
           spot: slot.spot,
           count: Math.min(mostPerRent, left),
         };
-        this.renting.set(request.name, { request, shard });
+        this.renting.set(request.name, { request, shard, coming: request.count });
         this.log('info', 'renting', { ...request, job: u.spec.id, urgency: urgencyRank[u.spec.urgency] });
         out.push({ e: 'rent', request });
       }
@@ -469,11 +476,9 @@
     // Premium stays anchored to a type that can be had; if none can, to the cheapest that fits.
     let anchor = anchorPrice(spec, this.replica.types, (t) => t.zones.some((z) => open(t, z, false)));
     if (!Number.isFinite(anchor)) anchor = anchorPrice(spec, this.replica.types, () => true);
-    // The dearest machines are not rented for work that others can do, unless it is premium, in a hurry, and
-    // nothing else is to be had.
+    // The dearest machines are not rented for work that others can do: the placement would not use them either.
     const plain = this.replica.types.filter((t) => t.gpus <= 0 && typeAllowed(spec, t));
-    const obtainable = plain.some((t) => t.zones.some((z) => open(t, z, false) || open(t, z, true)));
-    const gpuToo = spec.gpus > 0 || plain.length === 0 || (!obtainable && pressing(u, plain));
+    const gpuToo = spec.gpus > 0 || plain.length === 0;
     // Spreads machines over zones; a tie-break only, however large the fleet.
     const balance = 1e-4 / [...perZone.values()].reduce((a, b) => a + b, 1);
     let best: (Slot & { s: number }) | null = null;
