--- a/src/core/demand.ts
+++ b/src/core/demand.ts
@@ -5,7 +5,7 @@
 import { teamCap, typeAllowed } from '../policy/admission.js';
 import { limitsOf, slackS } from '../policy/deadlines.js';
 import { spotAllowed } from '../policy/guardrails.js';
-import { anchorPrice, fetchS, gpuMachineOpen, inOrder } from './placement.js';
+import { anchorPrice, fetchS, gpuMachineOpen, inOrder, pressingS } from './placement.js';
 import type { JobRecord } from './records.js';
 import type { Machine, Replica } from './replica.js';
 
@@ -143,7 +143,7 @@
     }
     const unmet: Unmet[] = [];
     // GPU work first: the GPU machines' room is counted as its own before other work may have the rest.
-    const ordered = inOrder(jobs, this.settings.objectives, this.wall);
+    const ordered = inOrder(jobs, this.settings.objectives, this.wall, pressingS(this.settings));
     for (const job of [
       ...ordered.filter((j) => j.spec.gpus > 0),
       ...ordered.filter((j) => j.spec.gpus <= 0),
--- a/src/core/dispatcher.ts
+++ b/src/core/dispatcher.ts
@@ -116,6 +116,8 @@
 /** A placement round goes on for so many machines looked at, then lets others have their turn for this long. */
 const mostLookedAt = 6000;
 const sliceMs = 20;
+/** How many worker leases a machine is kept for a job that waits. */
+const claimLeases = 4;
 /** Ends of tasks gather for this share of a report interval before they are written. */
 const endPatience = 0.5;
 
@@ -128,6 +130,8 @@
   readonly activeBy = new Map<number, number>();
   /** Placements to be stopped whose workers have not been told straight away yet. */
   private readonly unsentStops = new Set<Placement>();
+  /** Machines kept for a job that found no room, by host. */
+  readonly claims = new Map<string, { job: string; until: number }>();
   /** The placement round under way. */
   private round: Generator<number, void> | null = null;
   private slicedAt = -Infinity;
@@ -394,10 +398,31 @@
       const chunk = this.chunkOf(job, a.index);
       if (attempt !== undefined) chunk.last = Math.max(chunk.last, attempt);
       this.enter(job, chunk, { index: a.index, attempt: attempt ?? ++chunk.last, host: a.host }, true);
+      // On its way: tasks that come later share the fetch.
+      const m = this.machines.get(a.host);
+      if (m) m.images.set(job.spec.image, fetchS(job.spec, m.type));
     }
     for (const c of chunks) this.queueChunk(job, c);
   }
 
+  claim(host: string, job: string): void {
+    this.claims.set(host, {
+      job,
+      until: this.clock.now + this.settings.workers.lease_s * claimLeases * 1000,
+    });
+  }
+
+  unclaim(job: string): void {
+    for (const [host, c] of this.claims) if (c.job === job) this.claims.delete(host);
+  }
+
+  /** Ends claims of jobs that are over, and those that brought nothing for long. */
+  endClaims(): void {
+    for (const [host, c] of this.claims)
+      if (c.until < this.clock.now || !this.jobs.has(c.job) || !this.machines.has(host))
+        this.claims.delete(host);
+  }
+
   nextGangAttempt(job: JobRun): number {
     return Math.max(...job.chunks.map((c) => c.last)) + 1;
   }
@@ -717,7 +742,7 @@
     const now = this.clock.now;
     if (t.phase !== 'exited') {
       p.phase = t.phase;
-      if (t.phase !== 'fetching') m.images.set(p.job.spec.image, fetchS(p.job.spec, m.type));
+      m.images.set(p.job.spec.image, fetchS(p.job.spec, m.type));
       if (t.phase === 'running' && p.ranAt === 0) p.ranAt = now;
       return;
     }
--- a/src/core/openings.ts
+++ b/src/core/openings.ts
@@ -86,12 +86,14 @@
 
   /**
    * The machines that a job may use, best first. `score` is the policy's score of a kind, with or without the
-   * image; `open` what else decides about a machine.
+   * image; `open` what else decides about a machine;
+   * `withImage` leaves out those that lack the image.
    */
   *best(
     spec: JobSpec,
     score: (type: MachineType, spot: boolean, hasImage: boolean) => number,
     open: (m: M) => boolean,
+    withImage = false,
   ): Generator<M> {
     const heads: { list: Entry<M>[]; at: number; image: boolean; base: number; ord: number; s: number }[] =
       [];
@@ -108,7 +110,7 @@
     };
     for (const k of this.kinds) {
       if (!typeAllowed(spec, k.type) || (k.spot && !spotAllowed(spec))) continue;
-      for (const image of [true, false]) {
+      for (const image of withImage ? [true] : [true, false]) {
         const h = { list: k.list, at: 0, image, base: score(k.type, k.spot, image), ord: 0, s: 0 };
         if (advance(h)) heads.push(h);
       }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -4,7 +4,7 @@
 import { mayMove, moveBudget, spotAllowed, zoneOpen } from '../policy/guardrails.js';
 import { moveUrgency, order, score, type Candidate, type Weights } from '../policy/helios.js';
 import type { Dispatcher, JobRun, MachineRun, Placement } from './dispatcher.js';
-import type { Objective } from '../config/settings.js';
+import type { Objective, Settings } from '../config/settings.js';
 import { lateness, limitsOf, slackS } from '../policy/deadlines.js';
 import type { Operators } from '../config/operators.js';
 import { Openings } from './openings.js';
@@ -57,27 +57,38 @@
   Math.floor(Math.log2(Math.max(order({ premium: isPremium(spec), cpus: spec.cpus }), 0.01)));
 
 /**
- * Placement order: urgency, then work that can still be in time, then HELIOS's order, then the job whose limit
- * comes first.
+ * Placement order: urgency, then work that can still keep any of its limits, then work whose next limit is less
+ * than `pressingS` away, then HELIOS's order, then work that has missed fewer limits, then the job whose next
+ * limit comes first.
  */
-export function inOrder<T extends Queued>(jobs: T[], objectives: Objective[], wall: number): T[] {
+export function inOrder<T extends Queued>(
+  jobs: T[],
+  objectives: Objective[],
+  wall: number,
+  pressingS: number,
+): T[] {
   const keyed = jobs.map((job) => {
     const limits = limitsOf(job.spec, objectives);
     const ageS = (wall - job.at) / 1000;
     const runS = job.spec.estimateS * estimateShare;
+    const slack = slackS(limits, ageS, runS);
     return {
       job,
       urgency: urgencyRank[job.spec.urgency],
+      pressing: slack < pressingS,
+      lost: limits.done.length + limits.started.length > 0 && !Number.isFinite(slack),
       late: lateness(limits, ageS, runS),
       size: sizeClass(job.spec),
-      slack: slackS(limits, ageS, runS),
+      slack,
     };
   });
   keyed.sort(
     (a, b) =>
       b.urgency - a.urgency ||
-      a.late - b.late ||
+      Number(a.lost) - Number(b.lost) ||
+      Number(b.pressing) - Number(a.pressing) ||
       b.size - a.size ||
+      a.late - b.late ||
       a.slack - b.slack ||
       a.job.at - b.job.at ||
       0,
@@ -85,6 +96,10 @@
   return keyed.map((k) => k.job);
 }
 
+/** Work that is closer to a limit than this must have the next place that comes free. */
+export const pressingS = (settings: Settings): number =>
+  2 * settings.workers.report_s + settings.workers.lease_s;
+
 /** Estimates are often wrong by half: a job counts as late only if even half of its estimate is too long. */
 const estimateShare = 0.5;
 
@@ -94,8 +109,12 @@
 /** What a round keeps for each shard. */
 interface ShardRound {
   openings: Openings<MachineRun>;
-  /** All machines that may be used, also full ones, emptiest first. */
+  /** All machines that may be used and are not kept for anybody, also full ones, those that run empty soonest first. */
   all: MachineRun[];
+  /** Machines kept for a job that waits. */
+  claimed: Map<string, MachineRun[]>;
+  /** Types of the machines that may be used. */
+  types: Set<MachineType>;
 }
 
 /**
@@ -108,6 +127,7 @@
     [...d.jobs.values()].filter((j) => placeable(d, j)),
     d.settings.objectives,
     d.clock.wall,
+    pressingS(d.settings),
   );
   const keep = gpuShare(waiting);
   const least = { cpus: Infinity, gpus: 0, memGb: Infinity };
@@ -116,25 +136,38 @@
     least.memGb = Math.min(least.memGb, spec.memGb);
   }
   const shards = new Map<number, ShardRound>();
+  const roundOf = (shard: number): ShardRound => {
+    let round = shards.get(shard);
+    if (!round) shards.set(shard, (round = openShard(d, shard, least)));
+    return round;
+  };
   let preemptions = 0;
-  // Machines kept for a gang that found no room: nothing of lower order goes there.
-  const reserved = new Set<string>();
+  d.endClaims();
+  // A GPU machine that has an image takes the work that needs it first: a fetch can take longer than the task,
+  // and the GPU stands still meanwhile.
+  for (const job of waiting) {
+    if (job.spec.gpus <= 0 || job.spec.shape !== 'array' || !placeable(d, job)) continue;
+    const round = roundOf(job.shard);
+    placeEach(d, job, round, keep, true);
+    yield round.openings.looked;
+    round.openings.looked = 0;
+  }
   for (const job of waiting) {
     if (!placeable(d, job) || d.jobs.get(job.id) !== job) continue;
-    let round = shards.get(job.shard);
-    if (!round) shards.set(job.shard, (round = openShard(d, job.shard, least)));
+    const round = roundOf(job.shard);
     const { openings } = round;
     const count = d.waitingCount(job);
+    const hopeless = !round.claimed.has(job.id) && openings.hopeless(job.spec, count);
     if (job.spec.shape === 'gang') {
-      if (!openings.hopeless(job.spec, count) && placeGang(d, job, openings, keep)) {
+      if (!hopeless && placeGang(d, job, round, keep)) {
         yield openings.looked;
         openings.looked = 0;
         continue;
       }
-      if (gangMayWait(d, job)) reserve(d, job, round, reserved);
-    } else if (!openings.hopeless(job.spec, count)) placeEach(d, job, openings, keep);
+      if (gangMayWait(d, job)) reserve(d, job, round, keep);
+    } else if (!hopeless) placeEach(d, job, round, keep);
     if (d.waitingCount(job) > 0 && job.active.size === 0 && preemptions < mostPreemptions)
-      if (preempt(d, job, round, reserved)) preemptions++;
+      if (!round.claimed.get(job.id)?.some((m) => madeRoom(m)) && preempt(d, job, round, keep)) preemptions++;
     yield openings.looked;
     openings.looked = 0;
   }
@@ -146,12 +179,56 @@
 
 function openShard(d: Dispatcher, shard: number, least: Fits): ShardRound {
   const all: MachineRun[] = [];
-  for (const m of d.machines.values()) if (m.record.shard === shard && usable(d, m)) all.push(m);
+  const claimed = new Map<string, MachineRun[]>();
+  const types = new Set<MachineType>();
+  for (const m of d.machines.values()) {
+    if (m.record.shard !== shard || !usable(d, m)) continue;
+    types.add(m.type);
+    const claim = d.claims.get(m.host);
+    if (!claim) all.push(m);
+    else {
+      const mine = claimed.get(claim.job);
+      if (mine) mine.push(m);
+      else claimed.set(claim.job, [m]);
+    }
+  }
   const openings = new Openings(all, (m) => roomOf(d, m), least);
-  all.sort((a, b) => a.used.cpus / a.type.cpus - b.used.cpus / b.type.cpus);
-  return { openings, all };
+  const freeAt = new Map(all.map((m) => [m, freeInS(d, m)]));
+  all.sort((a, b) => freeAt.get(a)! - freeAt.get(b)!);
+  return { openings, all, claimed, types };
+}
+
+/** In how long a machine will have run empty, by its tasks' estimates, s. */
+function freeInS(d: Dispatcher, m: MachineRun): number {
+  let longest = 0;
+  for (const p of m.placements.values()) {
+    const ran = p.ranAt > 0 ? (d.clock.now - p.ranAt) / 1000 : 0;
+    const left = p.job.spec.shape === 'service' ? Infinity : p.job.spec.estimateS - ran;
+    longest = Math.max(longest, left, 1);
+  }
+  return longest;
 }
 
+/** The machines kept for a job, then those open to all. */
+function* candidates(d: Dispatcher, job: JobRun, round: ShardRound): Generator<MachineRun> {
+  for (const m of round.claimed.get(job.id) ?? []) if (usable(d, m) && openTo(job, m)) yield m;
+  yield* eligible(d, job, round.openings);
+}
+
+/** True while tasks on a machine are being stopped. */
+const madeRoom = (m: MachineRun): boolean => [...m.placements.values()].some((p) => p.stop !== null);
+
+/**
+ * Whether premium work without GPUs may take what waiting GPU work needs of a GPU machine: only where there is
+ * no other machine for it.
+ */
+const mayCrowd = (round: ShardRound, spec: JobSpec): boolean =>
+  ![...round.types].some((t) => t.gpus <= 0 && typeAllowed(spec, t));
+
+/** Whether a gang may have a machine of this type emptied for it. */
+const mayEmpty = (round: ShardRound, spec: JobSpec, type: MachineType, keep: GpuShare | null): boolean =>
+  type.gpus <= 0 || spec.gpus > 0 || keep === null || mayCrowd(round, spec);
+
 /** Whether a machine may take tasks at all now. */
 function usable(d: Dispatcher, m: MachineRun): boolean {
   const { now } = d.clock;
@@ -187,8 +264,13 @@
 }
 
 /** Machines of the job's shard that may take its tasks and have room for any waiting task, best first. */
-const eligible = (d: Dispatcher, job: JobRun, openings: Openings<MachineRun>): Generator<MachineRun> =>
-  openings.best(job.spec, kindScore(d, job.spec), (m) => usable(d, m) && openTo(job, m));
+const eligible = (
+  d: Dispatcher,
+  job: JobRun,
+  openings: Openings<MachineRun>,
+  withImage = false,
+): Generator<MachineRun> =>
+  openings.best(job.spec, kindScore(d, job.spec), (m) => usable(d, m) && openTo(job, m), withImage);
 
 export const roomOf = (d: Dispatcher, m: MachineRun): Fits => ({
   cpus: m.type.cpus * (1 - d.operators.headroom) - m.used.cpus,
@@ -227,11 +309,11 @@
 /**
  * A guardrail of ours: while GPU work waits, work without GPUs leaves it what it needs beside the free GPUs.
  * Otherwise small CPU tasks fill the GPU machines and the GPUs stand idle. Premium work of higher urgency
- * is exempt.
+ * is exempt if it can go nowhere else.
  */
-export function keptRoom(spec: JobSpec, room: Fits, keep: GpuShare | null): Fits {
+export function keptRoom(spec: JobSpec, room: Fits, keep: GpuShare | null, crowd: boolean): Fits {
   if (keep === null || spec.gpus > 0 || room.gpus <= 0) return room;
-  if (isPremium(spec) && urgencyRank[spec.urgency] > keep.urgency) return room;
+  if (crowd && isPremium(spec) && urgencyRank[spec.urgency] > keep.urgency) return room;
   return {
     cpus: room.cpus - room.gpus * keep.cpus,
     gpus: room.gpus,
@@ -239,16 +321,25 @@
   };
 }
 
-function placeEach(d: Dispatcher, job: JobRun, openings: Openings<MachineRun>, keep: GpuShare | null): void {
+function placeEach(
+  d: Dispatcher,
+  job: JobRun,
+  round: ShardRound,
+  keep: GpuShare | null,
+  withImage = false,
+): void {
   const { spec } = job;
+  const { openings } = round;
   let left = Math.min(d.waitingCount(job), timesFits(spec, d.teamRoom(spec.team)));
   // A job that only ever failed is tried one task at a time.
   if (job.errors.size >= 2 && job.successes === 0) left = Math.min(left, job.active.size === 0 ? 1 : 0);
   if (left <= 0) return;
   const at: { index: number; host: string }[] = [];
   const taken = new Map(job.zones);
-  for (const m of eligible(d, job, openings)) {
-    let n = Math.min(left - at.length, timesFits(spec, keptRoom(spec, roomOf(d, m), keep)));
+  const crowd = mayCrowd(round, spec);
+  const machines = withImage ? eligible(d, job, openings, true) : candidates(d, job, round);
+  for (const m of machines) {
+    let n = Math.min(left - at.length, timesFits(spec, keptRoom(spec, roomOf(d, m), keep, crowd)));
     for (; n > 0 && zoneOpen(spec, m.zone, taken); n--) {
       const index = d.nextWaiting(job);
       if (index < 0) break;
@@ -259,7 +350,9 @@
   }
   if (at.length > 0) d.place(job, at);
   openings.changed(new Set(at.map((a) => a.host)));
-  if (at.length < left && job.errors.size === 0) openings.failed(spec);
+  if (d.waitingCount(job) === 0) d.unclaim(job.id);
+  if (withImage) return;
+  if (at.length < left && job.errors.size === 0 && !round.claimed.has(job.id)) openings.failed(spec);
 }
 
 /** False: the gang waits for something else than room. */
@@ -267,13 +360,9 @@
   job.active.size === 0 && timesFits(job.spec, d.teamRoom(job.spec.team)) >= d.waitingCount(job);
 
 /** A gang is placed whole in one round or not at all. False: it found no room. */
-function placeGang(
-  d: Dispatcher,
-  job: JobRun,
-  openings: Openings<MachineRun>,
-  keep: GpuShare | null,
-): boolean {
+function placeGang(d: Dispatcher, job: JobRun, round: ShardRound, keep: GpuShare | null): boolean {
   const { spec } = job;
+  const { openings } = round;
   const need = d.waitingCount(job);
   // Tasks of an earlier attempt hold their machines and zones until they are proven gone.
   if (!gangMayWait(d, job)) return true;
@@ -281,9 +370,10 @@
   const taken = new Map<string | null, Map<string, number>>();
   const most = new Map<string, number>();
   let total = 0;
-  for (const m of eligible(d, job, openings)) {
+  const crowd = mayCrowd(round, spec);
+  for (const m of candidates(d, job, round)) {
     const zone = spec.oneZone ? m.zone : null;
-    const room = timesFits(spec, keptRoom(spec, roomOf(d, m), keep));
+    const room = timesFits(spec, keptRoom(spec, roomOf(d, m), keep, crowd));
     if (room === 0) continue;
     total += room;
     most.set(m.zone, (most.get(m.zone) ?? 0) + room);
@@ -305,28 +395,64 @@
     }
     d.place(job, at, d.nextGangAttempt(job));
     openings.changed(new Set(mine));
+    d.unclaim(job.id);
     return true;
   }
-  if (job.errors.size === 0) openings.failed(spec, Math.max(0, ...most.values()), total);
+  if (job.errors.size === 0 && !round.claimed.has(job.id))
+    openings.failed(spec, Math.max(0, ...most.values()), total);
   return false;
 }
 
-/** Keeps for a gang the machines that will have room soonest, so that small tasks do not starve it. */
-function reserve(d: Dispatcher, job: JobRun, round: ShardRound, reserved: Set<string>): void {
+/** The share of the machines that gangs could use which may be kept for gangs that wait. */
+const claimShare = 0.2;
+
+/**
+ * Keeps for a gang the machines that run empty soonest, all in one zone if it must be, so that small tasks do not
+ * starve it. They stay kept until it is placed: chosen anew each round, no machine would ever run empty. Only the
+ * first gangs get some, since machines that wait for others to run empty do nothing.
+ */
+function reserve(d: Dispatcher, job: JobRun, round: ShardRound, keep: GpuShare | null): void {
   const { spec } = job;
-  let need = d.waitingCount(job);
-  const mine = new Set<string>();
+  let held = 0;
+  for (const m of round.claimed.get(job.id) ?? []) held += timesFits(spec, m.type);
+  const need = d.waitingCount(job) - held;
+  if (need <= 0) return;
+  const there = round.claimed.get(job.id)?.[0]?.zone ?? null;
+  const byZone = new Map<string | null, { machines: MachineRun[]; slots: number }>();
+  let best: MachineRun[] | null = null;
+  let fit = 0;
   for (const m of round.all) {
-    if (need <= 0) break;
     round.openings.looked++;
     if (!typeAllowed(spec, m.type) || (m.spot && !spotAllowed(spec)) || !openTo(job, m)) continue;
-    need -= timesFits(spec, m.type);
+    if (!mayEmpty(round, spec, m.type, keep)) continue;
+    fit++;
+    if (best !== null || (spec.oneZone && there !== null && m.zone !== there)) continue;
+    const zone = spec.oneZone ? m.zone : null;
+    let z = byZone.get(zone);
+    if (!z) byZone.set(zone, (z = { machines: [], slots: 0 }));
+    z.machines.push(m);
+    z.slots += timesFits(spec, m.type);
+    // Soonest first: the zone that is complete first will have run empty first.
+    if (z.slots >= need) best = z.machines;
+  }
+  // The first gang always gets its machines; the others only while not too many are kept.
+  if (
+    best === null ||
+    (d.claims.size > 0 && d.claims.size + best.length > claimShare * (fit + d.claims.size))
+  )
+    return;
+  claim(d, job, round, best);
+}
+
+function claim(d: Dispatcher, job: JobRun, round: ShardRound, machines: MachineRun[]): void {
+  const mine = new Set<string>();
+  for (const m of machines) {
     mine.add(m.host);
-    reserved.add(m.host);
+    d.claim(m.host, job.id);
   }
-  if (mine.size === 0) return;
   round.openings.remove(mine);
   round.all = round.all.filter((m) => !mine.has(m.host));
+  round.claimed.set(job.id, [...(round.claimed.get(job.id) ?? []), ...machines]);
 }
 
 /** Whether a waiting job may have a running task stopped (the protocol's "Preemption"). */
@@ -351,11 +477,33 @@
   );
 }
 
+/** What stopping some tasks would free on a machine, and what would be lost by it. */
+interface Plan {
+  m: MachineRun;
+  victims: Placement[];
+  lost: number;
+}
+
+/** Of plans in order of loss: those of the zone where so many of them lose least together. */
+function cheapestZone(plans: Plan[], need: number): Plan[] {
+  let best: Plan[] = [];
+  let least = Infinity;
+  for (const zone of new Set(plans.map((p) => p.m.zone))) {
+    const here = plans.filter((p) => p.m.zone === zone).slice(0, need);
+    const lost = here.reduce((sum, p) => sum + p.lost, 0);
+    if (here.length === need && lost < least) {
+      least = lost;
+      best = here;
+    }
+  }
+  return best;
+}
+
 /**
  * Makes room for a job that neither a free place nor a machine rented now would serve in time, by stopping
  * the tasks that lose least. Machines where room is being made are kept for it. False: not looked for.
  */
-function preempt(d: Dispatcher, job: JobRun, round: ShardRound, reserved: Set<string>): boolean {
+function preempt(d: Dispatcher, job: JobRun, round: ShardRound, keep: GpuShare | null): boolean {
   const { spec } = job;
   const now = d.clock.now;
   const entitled = withinGuarantee(d, job);
@@ -371,12 +519,14 @@
   const bootS = Math.min(...kinds.map((t) => t.bootS + fetchS(spec, t)));
   const hurry = Number.isFinite(slack) ? slack : 2 * bootS - ageS;
   if (hurry > bootS + 2 * d.settings.workers.report_s) return false;
-  const plans: { m: MachineRun; victims: Placement[]; lost: number }[] = [];
+  let plans: Plan[] = [];
   const loss = (p: Placement): number =>
     p.stop !== null || p.ranAt === 0 ? 0 : ((now - p.ranAt) / 1000) * Math.max(p.job.spec.cpus, 0.1);
-  for (const m of round.all) {
+  const kept = round.claimed.get(job.id) ?? [];
+  for (const m of [...kept, ...round.all]) {
     round.openings.looked++;
     if (!typeAllowed(spec, m.type) || (m.spot && !spotAllowed(spec)) || !openTo(job, m)) continue;
+    if (!mayEmpty(round, spec, m.type, keep)) continue;
     const room = roomOf(d, m);
     const victims: Placement[] = [];
     let lost = 0;
@@ -395,19 +545,22 @@
     if (fits(spec, room)) plans.push({ m, victims, lost });
   }
   plans.sort((a, b) => a.lost - b.lost);
+  if (spec.oneZone && plans.length >= need) plans = cheapestZone(plans, need);
   if (plans.length < need) return true;
-  const kept = new Set<string>();
-  for (const plan of plans.slice(0, need)) {
-    kept.add(plan.m.host);
-    reserved.add(plan.m.host);
+  const chosen = plans.slice(0, need);
+  // What is in the way of the zone is found out by the placement; here only the loss counts.
+  claim(
+    d,
+    job,
+    round,
+    chosen.map((p) => p.m).filter((m) => !kept.includes(m)),
+  );
+  for (const plan of chosen)
     for (const p of plan.victims)
       if (p.stop === null) {
         d.log('info', 'preempting', { job: p.job.id, index: p.index, host: p.host, for: job.id });
         d.stop(p, p.job.spec.saveS);
       }
-  }
-  round.openings.remove(kept);
-  round.all = round.all.filter((m) => !kept.has(m.host));
   return true;
 }
 
