--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -219,15 +219,28 @@
 const madeRoom = (m: MachineRun): boolean => [...m.placements.values()].some((p) => p.stop !== null);
 
 /**
- * Whether premium work without GPUs may take what waiting GPU work needs of a GPU machine: only where there is
- * no other machine for it.
+ * Whether premium work without GPUs may take what GPU work needs of a GPU machine: only where there is no other
+ * machine for it, or when one that is rented now would come too late.
  */
-const mayCrowd = (round: ShardRound, spec: JobSpec): boolean =>
-  ![...round.types].some((t) => t.gpus <= 0 && typeAllowed(spec, t));
+function mayCrowd(d: Dispatcher, round: ShardRound, job: JobRun): boolean {
+  const { spec } = job;
+  if (!isPremium(spec)) return false;
+  if (![...round.types].some((t) => t.gpus <= 0 && typeAllowed(spec, t))) return true;
+  const limits = limitsOf(spec, d.settings.objectives);
+  let reach = Infinity;
+  for (const t of d.replica.types)
+    if (t.gpus <= 0 && typeAllowed(spec, t)) reach = Math.min(reach, t.bootS + fetchS(spec, t));
+  return slackS(limits, (d.clock.wall - job.at) / 1000, spec.estimateS) < reach;
+}
 
 /** Whether a gang may have a machine of this type emptied for it. */
-const mayEmpty = (round: ShardRound, spec: JobSpec, type: MachineType, keep: GpuShare | null): boolean =>
-  type.gpus <= 0 || spec.gpus > 0 || keep === null || mayCrowd(round, spec);
+const mayEmpty = (
+  d: Dispatcher,
+  round: ShardRound,
+  job: JobRun,
+  type: MachineType,
+  keep: GpuShare | null,
+): boolean => type.gpus <= 0 || job.spec.gpus > 0 || keep === null || mayCrowd(d, round, job);
 
 /** Whether a machine may take tasks at all now. */
 function usable(d: Dispatcher, m: MachineRun): boolean {
@@ -307,7 +320,7 @@
 }
 
 /**
- * A guardrail of ours: while GPU work waits, work without GPUs leaves it what it needs beside the free GPUs.
+ * A guardrail of ours: while GPU work waits, other work leaves it what it needs beside the free GPUs.
  * Otherwise small CPU tasks fill the GPU machines and the GPUs stand idle. Premium work of higher urgency
  * is exempt if it can go nowhere else.
  */
@@ -336,7 +349,7 @@
   if (left <= 0) return;
   const at: { index: number; host: string }[] = [];
   const taken = new Map(job.zones);
-  const crowd = mayCrowd(round, spec);
+  const crowd = mayCrowd(d, round, job);
   const machines = withImage ? eligible(d, job, openings, true) : candidates(d, job, round);
   for (const m of machines) {
     let n = Math.min(left - at.length, timesFits(spec, keptRoom(spec, roomOf(d, m), keep, crowd)));
@@ -370,7 +383,7 @@
   const taken = new Map<string | null, Map<string, number>>();
   const most = new Map<string, number>();
   let total = 0;
-  const crowd = mayCrowd(round, spec);
+  const crowd = mayCrowd(d, round, job);
   for (const m of candidates(d, job, round)) {
     const zone = spec.oneZone ? m.zone : null;
     const room = timesFits(spec, keptRoom(spec, roomOf(d, m), keep, crowd));
@@ -424,7 +437,7 @@
   for (const m of round.all) {
     round.openings.looked++;
     if (!typeAllowed(spec, m.type) || (m.spot && !spotAllowed(spec)) || !openTo(job, m)) continue;
-    if (!mayEmpty(round, spec, m.type, keep)) continue;
+    if (!mayEmpty(d, round, job, m.type, keep)) continue;
     fit++;
     if (best !== null || (spec.oneZone && there !== null && m.zone !== there)) continue;
     const zone = spec.oneZone ? m.zone : null;
@@ -526,7 +539,7 @@
   for (const m of [...kept, ...round.all]) {
     round.openings.looked++;
     if (!typeAllowed(spec, m.type) || (m.spot && !spotAllowed(spec)) || !openTo(job, m)) continue;
-    if (!mayEmpty(round, spec, m.type, keep)) continue;
+    if (!mayEmpty(d, round, job, m.type, keep)) continue;
     const room = roomOf(d, m);
     const victims: Placement[] = [];
     let lost = 0;
