--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -143,16 +143,23 @@
   };
   let preemptions = 0;
   d.endClaims();
-  // A GPU machine that has an image takes the work that needs it first: a fetch can take longer than the task,
-  // and the GPU stands still meanwhile.
-  for (const job of waiting) {
-    if (job.spec.gpus <= 0 || job.spec.shape !== 'array' || !placeable(d, job)) continue;
-    const round = roundOf(job.shard);
-    placeEach(d, job, round, keep, true);
-    yield round.openings.looked;
-    round.openings.looked = 0;
-  }
+  let level = Infinity;
   for (const job of waiting) {
+    const urgency = urgencyRank[job.spec.urgency];
+    if (urgency < level) {
+      level = urgency;
+      // Among work of like urgency, a GPU machine that has an image takes first what needs it: a fetch can take
+      // longer than the task, and the GPU stands still meanwhile.
+      for (const other of waiting) {
+        const { spec } = other;
+        if (urgencyRank[spec.urgency] !== level || spec.gpus <= 0 || spec.shape !== 'array') continue;
+        if (!placeable(d, other) || d.jobs.get(other.id) !== other) continue;
+        const round = roundOf(other.shard);
+        placeEach(d, other, round, keep, true);
+        yield round.openings.looked;
+        round.openings.looked = 0;
+      }
+    }
     if (!placeable(d, job) || d.jobs.get(job.id) !== job) continue;
     const round = roundOf(job.shard);
     const { openings } = round;
@@ -417,7 +424,7 @@
 }
 
 /** The share of the machines that gangs could use which may be kept for gangs that wait. */
-const claimShare = 0.2;
+const claimShare = 0.34;
 
 /**
  * Keeps for a gang the machines that run empty soonest, all in one zone if it must be, so that small tasks do not
