--- a/src/config/operators.ts
+++ b/src/config/operators.ts
@@ -32,7 +32,7 @@
   /** A node's state lease, as a share of the workers' lease. */
   'node-lease-ratio': 0.33,
   /** An idle machine is kept for this many times what it would take to replace: boot and its largest image. */
-  'idle-boots': 1,
+  'idle-boots': 0.6,
   /** Shards; 0: one per controller. */
   shards: 1,
 };
