--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -5,7 +5,7 @@
 import { moveUrgency, order, score, type Candidate, type Weights } from '../policy/helios.js';
 import type { Dispatcher, JobRun, MachineRun, Placement } from './dispatcher.js';
 import type { Objective, Settings } from '../config/settings.js';
-import { lateness, limitsOf, nextLimitS, slackS } from '../policy/deadlines.js';
+import { lateness, limitsOf, slackS } from '../policy/deadlines.js';
 import type { Operators } from '../config/operators.js';
 import { Openings } from './openings.js';
 
@@ -75,7 +75,7 @@
     return {
       job,
       urgency: urgencyRank[job.spec.urgency],
-      pressing: nextLimitS(limits, ageS, runS, pressingS) < pressingS,
+      pressing: slack < pressingS,
       lost: limits.done.length + limits.started.length > 0 && !Number.isFinite(slack),
       late: lateness(limits, ageS, runS),
       size: sizeClass(job.spec),
@@ -232,7 +232,7 @@
 function mayCrowd(d: Dispatcher, round: ShardRound, job: JobRun): boolean {
   const { spec } = job;
   if (!isPremium(spec)) return false;
-  if (nowhereElse(round, spec)) return true;
+  if (![...round.types].some((t) => t.gpus <= 0 && typeAllowed(spec, t))) return true;
   const limits = limitsOf(spec, d.settings.objectives);
   let reach = Infinity;
   for (const t of d.replica.types)
@@ -240,12 +240,14 @@
   return slackS(limits, (d.clock.wall - job.at) / 1000, spec.estimateS) < reach;
 }
 
-/** Whether a gang may have a machine of this type emptied for it: GPUs are not, where another machine will do. */
-const mayEmpty = (round: ShardRound, spec: JobSpec, type: MachineType, keep: GpuShare | null): boolean =>
-  type.gpus <= 0 || spec.gpus > 0 || keep === null || nowhereElse(round, spec);
-
-const nowhereElse = (round: ShardRound, spec: JobSpec): boolean =>
-  ![...round.types].some((t) => t.gpus <= 0 && typeAllowed(spec, t));
+/** Whether a gang may have a machine of this type emptied for it. */
+const mayEmpty = (
+  d: Dispatcher,
+  round: ShardRound,
+  job: JobRun,
+  type: MachineType,
+  keep: GpuShare | null,
+): boolean => type.gpus <= 0 || job.spec.gpus > 0 || keep === null || mayCrowd(d, round, job);
 
 /** Whether a machine may take tasks at all now. */
 function usable(d: Dispatcher, m: MachineRun): boolean {
@@ -442,7 +444,7 @@
   for (const m of round.all) {
     round.openings.looked++;
     if (!typeAllowed(spec, m.type) || (m.spot && !spotAllowed(spec)) || !openTo(job, m)) continue;
-    if (!mayEmpty(round, spec, m.type, keep)) continue;
+    if (!mayEmpty(d, round, job, m.type, keep)) continue;
     fit++;
     if (best !== null || (spec.oneZone && there !== null && m.zone !== there)) continue;
     const zone = spec.oneZone ? m.zone : null;
@@ -544,7 +546,7 @@
   for (const m of [...kept, ...round.all]) {
     round.openings.looked++;
     if (!typeAllowed(spec, m.type) || (m.spot && !spotAllowed(spec)) || !openTo(job, m)) continue;
-    if (!mayEmpty(round, spec, m.type, keep)) continue;
+    if (!mayEmpty(d, round, job, m.type, keep)) continue;
     const room = roomOf(d, m);
     const victims: Placement[] = [];
     let lost = 0;
--- a/src/policy/deadlines.ts
+++ b/src/policy/deadlines.ts
@@ -47,17 +47,9 @@
 }
 
 /** Time left until the next limit that can still be kept, for starting the last task; Infinity: none. */
-export const slackS = (limits: Limits, ageS: number, runS: number): number =>
-  nextLimitS(limits, ageS, runS, 0);
-
-/**
- * The same for limits longer than `overS` alone: a shorter one leaves no time to put other work first, and would
- * make every job of its class urgent from the start.
- */
-export function nextLimitS(limits: Limits, ageS: number, runS: number, overS: number): number {
+export function slackS(limits: Limits, ageS: number, runS: number): number {
   let least = Infinity;
-  for (const l of limits.done)
-    if (l > overS && l - runS - ageS >= 0) least = Math.min(least, l - runS - ageS);
-  for (const l of limits.started) if (l > overS && l - ageS >= 0) least = Math.min(least, l - ageS);
+  for (const l of limits.done) if (l - runS - ageS >= 0) least = Math.min(least, l - runS - ageS);
+  for (const l of limits.started) if (l - ageS >= 0) least = Math.min(least, l - ageS);
   return least;
 }
