--- a/src/core/dispatcher.ts
+++ b/src/core/dispatcher.ts
@@ -139,8 +139,6 @@
   private readonly unsentStops = new Set<Placement>();
   /** Jobs within their team's guarantee, as of the placement round under way. */
   entitled: ReadonlySet<JobRun> = new Set();
-  /** Types of which waiting premium work needs the on-demand machines, as of that round. */
-  scarce: ReadonlySet<MachineType> = new Set();
   /** Machines kept for a job that found no room, by host. */
   readonly claims = new Map<string, { job: string; until: number }>();
   /** The placement round under way. */
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -141,8 +141,7 @@
     pressingS(d.settings),
     d.entitled,
   );
-  const keep = keptForGpus(d, waiting);
-  d.scarce = wantedByPremium(d, waiting);
+  const keep = gpuShare(waiting);
   const least = { cpus: Infinity, gpus: 0, memGb: Infinity };
   for (const { spec } of waiting) {
     least.cpus = Math.min(least.cpus, spec.cpus);
@@ -297,26 +296,9 @@
   const hazard = d.hazard.perStep(d.operators['hazard-step-s']);
   const w = weights(d.operators);
   const work = { premium: isPremium(spec), cpus: spec.cpus };
-  // Weighs more than any difference in price.
-  const last = d.replica.types.reduce((sum, t) => sum + t.price / Math.max(t.cpus, 1), 0);
-  return (type, spot, image) => {
+  return (type, spot, image) =>
     // A leased machine is there already, also when it stands idle: only one to be rented is fresh.
-    const s = score(work, candidate(type, spot, hazard, false, 0, image ? 0 : fetchS(spec, type)), anchor, w);
-    return !work.premium && !spot && d.scarce.has(type) ? s - last : s;
-  };
-}
-
-/**
- * Types of which waiting premium work needs the on-demand machines. A guardrail of ours: other work goes there last.
- * Guards against small tasks that fill, by price alone, the only machines that gangs can use, while there is room
- * beside GPU tasks and on machines that gangs can't have.
- */
-function wantedByPremium(d: Dispatcher, waiting: JobRun[]): ReadonlySet<MachineType> {
-  const wanted = new Set<MachineType>();
-  for (const job of waiting)
-    if (isPremium(job.spec) && !suspect(job))
-      for (const t of d.replica.types) if (typeAllowed(job.spec, t)) wanted.add(t);
-  return wanted;
+    score(work, candidate(type, spot, hazard, false, 0, image ? 0 : fetchS(spec, type)), anchor, w);
 }
 
 /** Machines of the job's shard that may take its tasks and have room for any waiting task, best first. */
@@ -341,25 +323,6 @@
 export const gpuMachineOpen = (spec: JobSpec, type: MachineType, gpusBusy: number): boolean =>
   spec.gpus > 0 || type.gpus <= 0 || gpusBusy > 0;
 
-/** So many times as many free GPUs as waiting work wants make it needless to keep anything for them. */
-const plentyOfGpus = 2;
-
-/** What is to be kept beside free GPUs; null: no GPU work waits, or there are more than enough. */
-function keptForGpus(d: Dispatcher, waiting: JobRun[]): GpuShare | null {
-  // Guards against a job with a mistake that has room kept for as long as it is tried.
-  const wanting = waiting.filter((j) => j.spec.gpus > 0 && !suspect(j));
-  const share = gpuShare(wanting);
-  if (share === null) return null;
-  let short = plentyOfGpus * wanting.reduce((n, j) => n + d.waitingCount(j) * j.spec.gpus, 0);
-  for (const m of d.machines.values()) {
-    if (short <= 0) return null;
-    if (m.type.gpus <= 0 || !usable(d, m)) continue;
-    const room = roomOf(d, m);
-    short -= Math.min(room.gpus, timesFits({ cpus: share.cpus, gpus: 0, memGb: share.memGb }, room));
-  }
-  return short <= 0 ? null : share;
-}
-
 /** What waiting GPU work needs beside each GPU. */
 export interface GpuShare {
   cpus: number;
