--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -142,9 +142,7 @@
     d.entitled,
   );
   // Guards against a job with a mistake that has room kept for as long as it is tried.
-  const wanting = waiting.filter((j) => j.spec.gpus > 0 && !suspect(j));
-  const keep = gpuShare(wanting);
-  const short = shortOfGpus(d, wanting);
+  const keep = gpuShare(waiting.filter((j) => !suspect(j)));
   const least = { cpus: Infinity, gpus: 0, memGb: Infinity };
   for (const { spec } of waiting) {
     least.cpus = Math.min(least.cpus, spec.cpus);
@@ -166,9 +164,8 @@
     if (levelOf(job) < level) {
       level = levelOf(job);
       // Among work of like urgency, a GPU machine that has an image takes first what needs it: a fetch can take
-      // longer than the task, and the GPU stands still meanwhile. With GPUs to spare the policy's prices decide alone, so
-      // that the dearest machines run empty.
-      for (const other of short ? waiting : []) {
+      // longer than the task, and the GPU stands still meanwhile.
+      for (const other of waiting) {
         const { spec } = other;
         if (levelOf(other) !== level || spec.gpus <= 0 || spec.shape !== 'array') continue;
         if (!placeable(d, other) || d.jobs.get(other.id) !== other) continue;
@@ -327,19 +324,6 @@
 export const gpuMachineOpen = (spec: JobSpec, type: MachineType, gpusBusy: number): boolean =>
   spec.gpus > 0 || type.gpus <= 0 || gpusBusy > 0;
 
-/** With so many free GPUs for each one that is wanted, none is short. */
-const plentyOfGpus = 2;
-
-/** Whether GPUs are short for the work that waits for them. */
-function shortOfGpus(d: Dispatcher, wanting: JobRun[]): boolean {
-  let short = plentyOfGpus * wanting.reduce((n, j) => n + d.waitingCount(j) * j.spec.gpus, 0);
-  for (const m of d.machines.values()) {
-    if (short <= 0) return false;
-    if (m.type.gpus > 0 && usable(d, m)) short -= m.type.gpus - m.used.gpus;
-  }
-  return short > 0;
-}
-
 /** What waiting GPU work needs beside each GPU. */
 export interface GpuShare {
   cpus: number;
