A controller that stood still or was cut off rents, returns and answers workers only once confirmed

The new test freezes owner and leader at 20 moments for 4, 12 and 35 s; without the guard it fails with a stale rent. Commits were safe already by their conditions, starts by the view's age. Change: a gap of a third of the state lease between two steps makes the view count as old until a reading asked for since; the leader acts on the cloud only with a view younger than its state lease. Logs: stood still, state service not reached and reached again, who has a shard now and by which grant.

--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -11,6 +11,8 @@
 import { Replica } from './replica.js';
 
 const mostRelays = 200;
+/** Longer than this share of its state lease between two steps, and a process is taken to have stood still. */
+const standstillShare = 1 / 3;
 /** Workers wait 4 s for an answer. */
 const relayMs = 2000;
 
@@ -31,6 +33,10 @@
   private readings: { sentAt: number; epoch: number }[] = [];
   private readAt = -Infinity;
   private wasLeading = false;
+  private steppedAt = -Infinity;
+  /** Readings of the state's revision that were asked for before this moment prove nothing, ms. */
+  private wokeAt = -Infinity;
+  private stateLost = false;
   private shardsChanged = true;
 
   constructor(
@@ -89,6 +95,7 @@
     this.clock.now = clock.now;
     this.clock.wall = clock.wall;
     this.desk.out = out;
+    this.wake();
     for (const c of commands) this.handle(c, out);
     this.settle();
     this.membership.tick(clock.now, out);
@@ -98,7 +105,8 @@
       this.log('info', leading ? 'leading' : 'no longer leading');
       this.fleet.reset();
     }
-    if (leading) this.fleet.tick(out);
+    // Guards against a leader that was cut off or stood still: what it would rent or return may be another's by now.
+    if (leading && this.viewAgeMs <= this.membership.ttlMs) this.fleet.tick(out);
     this.dispatcher.tick(out);
     for (const [rid, at] of this.relays)
       if (clock.now - at > relayMs) {
@@ -114,13 +122,35 @@
     return out;
   }
 
+  /**
+   * A process that stood still holds answers and an authority from before. Its view counts as old until a reading that
+   * was asked for since: no worker is answered, nothing is rented or returned until then. Its writes need no such guard,
+   * their conditions tell.
+   */
+  private wake(): void {
+    const { now } = this.clock;
+    const gapMs = now - this.steppedAt;
+    this.steppedAt = now;
+    if (gapMs <= this.membership.ttlMs * standstillShare || !Number.isFinite(gapMs)) return;
+    this.log('warn', 'stood still', { ms: Math.round(gapMs) });
+    this.wokeAt = now;
+    this.viewAt = -Infinity;
+  }
+
   private settle(): void {
     this.readings = this.readings.filter((r) => {
       if (r.epoch > this.replica.epoch) return true;
+      if (r.sentAt < this.wokeAt) return false;
       this.viewAt = Math.max(this.viewAt, r.sentAt);
       return false;
     });
     if (this.readings.length > 50) this.readings.splice(0, 25);
+    const lost = this.replica.epoch >= 0 && this.viewAgeMs > this.membership.ttlMs;
+    if (lost !== this.stateLost) {
+      this.stateLost = lost;
+      if (lost) this.log('warn', 'state service not reached', { forMs: Math.round(this.viewAgeMs) });
+      else this.log('info', 'state service reached again');
+    }
     if (this.shardsChanged) {
       this.dispatcher.syncShards();
       // A grant may be visible before the view has reached it: looked at again until it is taken up.
--- a/src/core/dispatcher.ts
+++ b/src/core/dispatcher.ts
@@ -183,7 +183,7 @@
         this.owned.delete(shard);
         for (const [id, job] of this.jobs) if (job.shard === shard) this.dropJob(id);
         for (const [host, m] of this.machines) if (m.record.shard === shard) this.machines.delete(host);
-        this.log('info', 'shard lost', { shard });
+        this.log('info', 'shard lost', { shard, to: this.replica.shards.get(shard)?.owner });
       }
     for (const [shard, grant] of this.replica.shards)
       // The view must include all that earlier owners wrote, so it has to have reached the grant.
@@ -191,7 +191,12 @@
         this.owned.add(shard);
         for (const m of this.replica.machines.values()) if (m.shard === shard) this.takeMachine(m);
         for (const job of this.replica.jobs.values()) this.takeJob(job);
-        this.log('info', 'shard taken up', { shard, jobs: this.jobs.size, machines: this.machines.size });
+        this.log('info', 'shard taken up', {
+          shard,
+          grant: grant.stamp,
+          jobs: this.jobs.size,
+          machines: this.machines.size,
+        });
       }
   }
 
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -377,6 +377,34 @@
   assert.equal(w.running('req-1').length, 1);
 });
 
+test('an owner and leader that stands still at any moment: nothing is done on what it held before', () => {
+  for (const frozenS of [4, 12, 35])
+    for (let at = 0; at < 26; at += 1.3) {
+      const w = new World(2);
+      up(w);
+      const owner = w.nodes.find((n) => n.controller.dispatcher.owned.size > 0)!;
+      const other = w.nodes.find((n) => n !== owner)!;
+      other.submit(spec('req-1', { tasks: 4 }));
+      other.submit(spec('req-2', { team: 'blue', shape: 'gang', tasks: 2, cpus: 8 }));
+      other.submit(spec('req-3', { team: 'blue', tasks: 3 }));
+      w.play(at);
+      owner.frozen = true;
+      w.play(0.3);
+      const told = other.withdraw('req-3')?.body['status'];
+      if (told === 'aborted') w.cancelledAt.set('req-3', w.now);
+      w.play(frozenS);
+      owner.frozen = false;
+      const over = (id: string) => other.status(id)?.body['status'] === 'done';
+      assert.ok(
+        w.playUntil(() => over('req-1') && over('req-2'), 150),
+        `frozen for ${frozenS} s at ${at}`,
+      );
+      w.play(20);
+      assert.deepEqual(w.broken, [], `frozen for ${frozenS} s at ${at}`);
+      for (const n of w.nodes) assert.equal(n.status('req-3')?.body['status'], told);
+    }
+});
+
 test('a lost peer: its lease is ended at once, and its shard is taken up long before it would have expired', () => {
   const w = new World(3, { shards: 3 });
   up(w);
--- a/test/world.ts
+++ b/test/world.ts
@@ -162,6 +162,10 @@
   alive = true;
   /** Cut off from the state service: it gets no answers and sees no changes. */
   cut = false;
+  /** It stands still while its clock runs on: what arrives waits. */
+  frozen = false;
+  /** Changes of the state reach it again only some time after it woke: first comes what had waited. */
+  private newsAt = 0;
   private followed = -1;
   answers = new Map<number, { status: number; body: Record<string, unknown>; retryAfterS?: number }>();
   private runs = 0;
@@ -194,7 +198,11 @@
   step(): void {
     if (!this.alive) return;
     const s = this.world.state;
-    if (!this.cut && !s.down) {
+    if (this.frozen) {
+      this.newsAt = this.world.now + 300;
+      return;
+    }
+    if (!this.cut && !s.down && this.world.now >= this.newsAt) {
       if (this.followed < 0) this.push({ c: 'loaded', items: s.items(), epoch: s.epoch });
       else if (this.followed < s.epoch)
         this.push({ c: 'changes', changes: s.log.filter((c) => c.stamp > this.followed), epoch: s.epoch });
@@ -246,6 +254,7 @@
         reply({ c: 'types', types: w.cloudDown ? null : w.types });
         break;
       case 'rent': {
+        this.actsAsLeader('rent');
         w.rentals.push(e.request);
         if (w.cloudDown) return reply({ c: 'rented', request: e.request, outcome: 'refused' });
         if (w.capacity <= 0) return reply({ c: 'rented', request: e.request, outcome: 'none' });
@@ -258,6 +267,7 @@
         break;
       }
       case 'delete':
+        this.actsAsLeader('return');
         if (w.cloudDown) return reply({ c: 'deleted', hosts: e.hosts, ok: false });
         for (const h of e.hosts) {
           w.deleted.push(h);
@@ -302,6 +312,11 @@
     }
   }
 
+  private actsAsLeader(what: string): void {
+    const lead = this.world.state.keys.get('dp/lead')?.data as { member: string } | undefined;
+    if (lead?.member !== this.member) this.world.broken.push(`stale ${what} by ${this.member}`);
+  }
+
   private rid = 1000;
   /** Sends a request and plays until it is answered. */
   ask(c: (rid: number) => Command, withinMs = 6000) {
