--- a/src/config/operators.ts
+++ b/src/config/operators.ts
@@ -30,7 +30,7 @@
   /** How long a grant is good for without being confirmed. */
   'grant-s': 30,
   /** A node's state lease, as a share of the workers' lease. */
-  'node-lease-ratio': 0.33,
+  'node-lease-ratio': 0.2,
   /** An idle machine is kept for this many times what it would take to replace: boot and its largest image. */
   'idle-boots': 0.6,
   /** Shards; 0: one per controller. */
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -145,7 +145,7 @@
       return false;
     });
     if (this.readings.length > 50) this.readings.splice(0, 25);
-    const lost = this.replica.epoch >= 0 && this.viewAgeMs > this.membership.ttlMs;
+    const lost = Number.isFinite(this.viewAgeMs) && this.viewAgeMs > this.membership.ttlMs;
     if (lost !== this.stateLost) {
       this.stateLost = lost;
       if (lost) this.log('warn', 'state service not reached', { forMs: Math.round(this.viewAgeMs) });
