Guarantees stop others at once only where operators say by when; dispatcher split by what it owns

Stopping others early loses their work and brings no aim there; and counting saved work as not lost made gangs stop GPU tasks, which fetch for 30 s again. Change: jobs within a guarantee go first and have others stopped at once only with an objective of kind guarantee; when a whole machine is emptied, saved work counts like the rest (arrays that give way still count it as saved). The leader reads the state's revision four times in its state lease, so that the guard for stale leaders never holds it back in quiet times.

--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -116,8 +116,12 @@
     this.desk.pump(out);
     this.committer.pump(clock.now, out);
     // Also without requests the view's age must be known: workers are answered only from a fresh one.
-    if (clock.now - this.readAt > this.dispatcher.freshLimitMs / 8 && this.replica.epoch >= 0)
-      out.push({ e: 'epoch' });
+    // The leader needs one that is younger than its state lease.
+    const readEveryMs = Math.min(
+      this.dispatcher.freshLimitMs / 8,
+      leading ? this.membership.ttlMs / 4 : Infinity,
+    );
+    if (clock.now - this.readAt > readEveryMs && this.replica.epoch >= 0) out.push({ e: 'epoch' });
     if (out.some((o) => o.e === 'epoch')) this.readAt = clock.now;
     return out;
   }
@@ -145,7 +149,7 @@
       return false;
     });
     if (this.readings.length > 50) this.readings.splice(0, 25);
-    const lost = Number.isFinite(this.viewAgeMs) && this.viewAgeMs > this.membership.ttlMs;
+    const lost = Number.isFinite(this.viewAgeMs) && this.viewAgeMs > this.dispatcher.freshLimitMs / 2;
     if (lost !== this.stateLost) {
       this.stateLost = lost;
       if (lost) this.log('warn', 'state service not reached', { forMs: Math.round(this.viewAgeMs) });
@@ -280,7 +284,7 @@
     const run = this.dispatcher.machines.get(m.host);
     if (!run) return answer(503, {}, 1);
     this.fleet.heardFrom(m.host);
-    const orders = this.dispatcher.checkin(run, report, custodian.token);
+    const orders = this.dispatcher.checkins.checkin(run, report, custodian.token);
     answer(200, answerOut(custodian.token, orders));
   }
 }
--- a/src/core/dispatcher.ts
+++ b/src/core/dispatcher.ts
@@ -1,133 +1,29 @@
 import type { Operators } from '../config/operators.js';
 import type { Settings } from '../config/settings.js';
 import { pieceName, urgencyRank, type JobSpec } from '../model/job.js';
-import { type Fits, type MachineType } from '../model/machine.js';
-import type { Order, Report, TaskPhase, TaskReport } from '../model/report.js';
+import type { Fits } from '../model/machine.js';
 import { teamCap } from '../policy/admission.js';
 import { HazardEstimate } from '../policy/hazard.js';
-import { enoughEvidence, evidence, mostFailedKept, suspect, suspectMachines } from './blame.js';
+import { mostFailedKept } from './blame.js';
+import { Checkins } from './checkins.js';
 import { Rank, type Committer } from './committer.js';
 import type { Clock, Effect, Log } from './effects.js';
-import { chunkKey, jobKey, machineKey, shardKey } from './keys.js';
+import { chunkKey, jobKey, shardKey } from './keys.js';
 import { fetchS, placeRound } from './placement.js';
-import {
-  Bits,
-  chunkData,
-  jobDoneData,
-  machineData,
-  type JobRecord,
-  type JobUse,
-  type Placed,
-} from './records.js';
+import { Bits, chunkData, jobDoneData, type JobRecord, type JobUse, type Placed } from './records.js';
 import type { Machine, Replica } from './replica.js';
+import type { Chunk, JobRun, MachineRun, Placement } from './runs.js';
+import { Upkeep } from './upkeep.js';
 
-/** A task's present attempt. It exists from the decision to place until it is proven gone. */
-export interface Placement {
-  job: JobRun;
-  index: number;
-  attempt: number;
-  host: string;
-  chunk: Chunk;
-  /** The chunk's version that first holds it: durable once that version is. */
-  version: number;
-  /** Decided by this process, so nobody else can have sent its start. */
-  own: boolean;
-  /** The (session, seq) of the report whose answer carried the start. */
-  sent: [number, number] | null;
-  phase: TaskPhase | 'placed';
-  /** When it was first seen to run, ms; 0: not yet. */
-  ranAt: number;
-  placedAt: number;
-  /** Wanted off its machine, with this much time to save. */
-  stop: { graceS: number; since: number } | null;
-}
-
-export interface Chunk {
-  number: number;
-  base: number;
-  size: number;
-  stamp: number;
-  last: number;
-  done: Bits;
-  /** Version in memory, and the newest version known to be durable. */
-  version: number;
-  /** The version that holds the newest placement. */
-  placed: number;
-  durable: number;
-  /** Its write that waits or is under way. */
-  queued: { rank: Rank } | null;
-  /** Not to be written before the view has reached this revision. */
-  blockedUntil: number;
-}
-
-export interface JobRun {
-  id: string;
-  spec: JobSpec;
-  shard: number;
-  at: number;
-  stamp: number;
-  cancelled: boolean;
-  chunks: Chunk[];
-  active: Map<number, Placement>;
-  /** Tasks that wait for a place: those never placed from `fresh` on, and those to be placed again. */
-  fresh: number;
-  retry: Set<number>;
-  done: number;
-  zones: Map<string, number>;
-  finishing: boolean;
-  /** Gang: an attempt is being taken down; nothing starts until all of it is gone. */
-  breaking: boolean;
-  /** Machines on which its tasks failed. */
-  errors: Set<string>;
-  /** How often it was tried in vain since it is suspected of a mistake. */
-  probes: number;
-  /** It found no place where it has not failed yet: it may be tried on any machine. */
-  anywhere: boolean;
-  successes: number;
-  notBefore: number;
-}
-
-export interface MachineRun {
-  host: string;
-  record: Machine;
-  type: MachineType;
-  zone: string;
-  spot: boolean;
-  used: Fits;
-  placements: Map<string, Placement>;
-  endpoint: string;
-  session: number;
-  seq: number;
-  /** Last report under our present token, ms; 0: none yet. */
-  provenAt: number;
-  heardAt: number;
-  /** Not before this can its worker's lease have ended. */
-  leaseUntil: number;
-  token: number;
-  noticeAt: number;
-  avoidUntil: number;
-  idleSince: number;
-  /** How many tasks of which jobs failed on it since it last completed one. */
-  failures: Map<string, number>;
-  /** Images seen on it, and how long they take to fetch, s. */
-  images: Map<string, number>;
-  /** When this process took it up, ms. */
-  takenAt: number;
-  condemned: boolean;
-  releasing: boolean;
-}
-
-const ordersPerAnswer = 400;
 /** A placement round goes on for so many machines looked at, then lets others have their turn for this long. */
 const mostLookedAt = 6000;
 const sliceMs = 20;
-/** A job that fails wherever it goes is tried again after so many worker leases at the latest. */
-const longestRetryLeases = 2.5;
 /** How many worker leases a machine is kept for a job that waits. */
 const claimLeases = 4;
 /** Ends of tasks gather for this share of a report interval before they are written. */
 const endPatience = 0.5;
 
+/** The jobs of the shards of this process: what is placed, what is durable, what waits. */
 export class Dispatcher {
   readonly jobs = new Map<string, JobRun>();
   readonly machines = new Map<string, MachineRun>();
@@ -136,7 +32,7 @@
   /** How many placements there are of each urgency's rank. */
   readonly activeBy = new Map<number, number>();
   /** Placements to be stopped whose workers have not been told straight away yet. */
-  private readonly unsentStops = new Set<Placement>();
+  readonly unsentStops = new Set<Placement>();
   /** Jobs within their team's guarantee, as of the placement round under way. */
   entitled: ReadonlySet<JobRun> = new Set();
   /** Machines kept for a job that found no room, by host. */
@@ -152,7 +48,8 @@
   /** When a move was last ordered, ms. */
   movedAt = -Infinity;
   private lastSweep = -1;
-  private readonly pendingForget = new Map<string, { chunk: Chunk; version: number; job: JobRun }>();
+  readonly checkins: Checkins;
+  private readonly upkeep: Upkeep;
 
   constructor(
     readonly settings: Settings,
@@ -165,6 +62,8 @@
   ) {
     // A placed task takes up to some 40 bytes of its chunk's value.
     this.chunkTasks = Math.max(16, Math.min(512, Math.floor((settings.state.value_kb * 1024) / 64)));
+    this.checkins = new Checkins(this);
+    this.upkeep = new Upkeep(this, committer);
     this.hazard = new HazardEstimate(operators['hazard-prior']);
   }
 
@@ -468,7 +367,7 @@
   }
 
   /** The attempt is proven gone (or over): it counts no more, and its record is to be removed. */
-  private gone(p: Placement, why: string, outcome: 'done' | 'again' = 'again'): void {
+  gone(p: Placement, why: string, outcome: 'done' | 'again' = 'again'): void {
     const { job, chunk } = p;
     if (job.active.get(p.index) !== p) return;
     job.active.delete(p.index);
@@ -486,7 +385,7 @@
       if (!this.isDone(job, p.index)) {
         chunk.done.add(p.index - chunk.base);
         job.done++;
-        if (job.successes++ === 0) this.judgeAll(job);
+        if (job.successes++ === 0) this.checkins.judgeAll(job);
       }
       if (job.done >= job.spec.tasks && job.spec.shape !== 'service' && !job.cancelled) this.finish(job);
     } else if (!job.cancelled) {
@@ -592,7 +491,7 @@
   private readonly ended = new Map<Chunk, { job: JobRun; since: number }>();
 
   /** An end is written with the chunk's next placement, or after a while with the others of its chunk. */
-  private noteEnd(job: JobRun, chunk: Chunk): void {
+  noteEnd(job: JobRun, chunk: Chunk): void {
     if (!chunk.queued && !this.ended.has(chunk)) this.ended.set(chunk, { job, since: this.clock.now });
   }
 
@@ -688,122 +587,6 @@
 
   // ---- workers ----
 
-  /** Takes in a report of a machine of ours; returns the orders to answer with. */
-  checkin(m: MachineRun, report: Report, token: number): Order[] {
-    const now = this.clock.now;
-    m.endpoint = report.endpoint;
-    m.heardAt = now;
-    if (m.token !== token) {
-      m.token = token;
-      m.provenAt = 0;
-    }
-    // Under our token no earlier owner can renew the lease any more.
-    const proof = report.token === token;
-    const leaseEnd = now + this.settings.workers.lease_s * 1000;
-    m.leaseUntil = proof ? leaseEnd : Math.max(m.leaseUntil, leaseEnd);
-    // Guards against the late report: its list is as old as itself, and its answer will be dropped.
-    if (report.session < m.session || (report.session === m.session && report.seq <= m.seq)) return [];
-    m.session = report.session;
-    m.seq = report.seq;
-    if (proof) {
-      // Guards against returning a machine for having been idle while it booted.
-      if (m.provenAt === 0 && m.placements.size === 0) m.idleSince = now;
-      m.provenAt = now;
-    }
-    if (report.noticeS !== null && m.noticeAt === 0) this.onNotice(m, report.noticeS);
-    const orders: Order[] = [];
-    const listed = new Map<string, TaskReport>();
-    for (const t of report.tasks) listed.set(pieceName(t.job, t.index), t);
-    for (const [piece, p] of [...m.placements]) {
-      const t = listed.get(piece);
-      if (t?.attempt === p.attempt) this.observe(m, p, t);
-      else if (proof && (p.sent === null || later(report, p.sent))) this.absent(m, p);
-    }
-    for (const [piece, t] of listed) {
-      const p = m.placements.get(piece);
-      if (p?.attempt === t.attempt) {
-        if (p.stop && t.phase !== 'exited')
-          orders.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: p.stop.graceS });
-      } else if (t.phase === 'exited') {
-        const held = this.pendingForget.get(forgetKey(m.host, piece, t.attempt));
-        // Guards against losing a result: a task is forgotten only after its end is durable.
-        if (!held || held.chunk.durable >= held.version || this.jobs.get(held.job.id) !== held.job) {
-          if (!held || this.replica.jobs.get(t.job)?.state !== 'open' || held.chunk.durable >= held.version)
-            orders.push({ op: 'forget', job: t.job, index: t.index, attempt: t.attempt });
-          this.pendingForget.delete(forgetKey(m.host, piece, t.attempt));
-        }
-      } else if (proof) {
-        this.log('warn', 'stray task', { piece, attempt: t.attempt, host: m.host });
-        orders.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
-      }
-    }
-    if (proof && m.noticeAt === 0)
-      for (const [piece, p] of m.placements) {
-        if (orders.length >= ordersPerAnswer) break;
-        if (listed.get(piece)?.attempt === p.attempt || p.stop || !this.startable(p)) continue;
-        p.sent = [report.session, report.seq];
-        orders.push({ op: 'start', job: p.job.id, index: p.index, attempt: p.attempt });
-      }
-    return orders.slice(0, ordersPerAnswer);
-  }
-
-  /** Guards against starting what a crash could forget: durable first, and a gang's attempt as a whole. */
-  private startable(p: Placement): boolean {
-    if (p.job.cancelled || p.job.finishing) return false;
-    if (p.job.spec.shape !== 'gang') return p.chunk.durable >= p.version;
-    for (const q of p.job.active.values()) if (q.chunk.durable < q.version) return false;
-    return true;
-  }
-
-  private observe(m: MachineRun, p: Placement, t: TaskReport): void {
-    const now = this.clock.now;
-    if (t.phase !== 'exited') {
-      p.phase = t.phase;
-      m.images.set(p.job.spec.image, fetchS(p.job.spec, m.type));
-      if (t.phase === 'running' && p.ranAt === 0) p.ranAt = now;
-      return;
-    }
-    const { job } = p;
-    if (t.why === 'done') {
-      m.failures.clear();
-      this.gone(p, 'done', 'done');
-    } else {
-      this.log('debug', 'task ended', { piece: pieceName(job.id, p.index), host: m.host, why: t.why });
-      if (t.why === 'error') this.onError(m, job);
-      if (t.why === 'full' || t.why === 'busy') m.avoidUntil = now + this.settings.workers.report_s * 2000;
-      if (t.why === 'unknown') job.notBefore = now + this.settings.workers.report_s * 1000;
-      this.gone(p, t.why ?? 'exited');
-    }
-    this.pendingForget.set(forgetKey(m.host, pieceName(job.id, p.index), p.attempt), {
-      chunk: p.chunk,
-      version: p.chunk.version,
-      job,
-    });
-  }
-
-  /** A newer report under our token does not list the attempt: it is not on the machine. */
-  private absent(m: MachineRun, p: Placement): void {
-    if (p.stop || p.job.cancelled) return this.gone(p, 'absent');
-    if (p.phase === 'placed') {
-      // Never seen there; its start is sent (again) with this answer. A machine under notice gets none.
-      if (m.noticeAt > 0 || m.condemned) this.gone(p, 'machine not to be used');
-      return;
-    }
-    this.gone(p, 'vanished');
-  }
-
-  private onNotice(m: MachineRun, noticeS: number): void {
-    m.noticeAt = this.clock.now + noticeS * 1000;
-    this.hazard.taken();
-    this.log('info', 'notice', { host: m.host, noticeS });
-    for (const p of m.placements.values()) {
-      const { spec } = p.job;
-      // What can save, saves; what cannot may still finish in time.
-      if (spec.checkpointS > 0 && spec.shape !== 'gang' && spec.saveS <= noticeS) this.stop(p, spec.saveS);
-      if (spec.shape === 'gang') this.stopGang(p.job);
-    }
-  }
-
   /** Stops a whole gang in order: every task gets time to save, all at about the same time. */
   stopGang(job: JobRun): void {
     job.breaking = true;
@@ -817,76 +600,6 @@
     this.unsentStops.add(p);
   }
 
-  private onError(m: MachineRun, job: JobRun): void {
-    m.failures.set(job.id, (m.failures.get(job.id) ?? 0) + 1);
-    const before = job.errors.size;
-    job.errors.add(m.host);
-    if (!suspect(job)) return this.judge(m);
-    // Guards against a crowd of first tries that all fail at about the same time: together they are one.
-    if (job.active.size <= 1) job.probes++;
-    const w = this.settings.workers;
-    const waitS = Math.min(longestRetryLeases * w.lease_s, w.report_s * 2 ** job.probes);
-    job.notBefore = this.clock.now + waitS * 1000;
-    // The machines that it failed on first are cleared.
-    if (before < job.errors.size && job.errors.size === suspectMachines) {
-      this.log('info', 'job fails on several machines', { job: job.id, hosts: [...job.errors] });
-      this.judgeAll(job);
-      job.chunks[0].version++;
-      this.noteEnd(job, job.chunks[0]);
-    }
-  }
-
-  private judgeAll(job: JobRun): void {
-    for (const host of job.errors) {
-      const m = this.machines.get(host);
-      if (m) this.judge(m);
-    }
-  }
-
-  /** Weighs what failed on a machine: it is given up, rests for a while, or is cleared. */
-  private judge(m: MachineRun): void {
-    const against = evidence(m.failures, (id) => this.jobs.get(id));
-    if (against < enoughEvidence) {
-      m.avoidUntil = against > 0 ? this.clock.now + this.settings.workers.report_s * 4000 : 0;
-      return;
-    }
-    if (m.condemned) return;
-    this.log('warn', 'machine fails its tasks', { host: m.host, failures: Object.fromEntries(m.failures) });
-    m.condemned = true;
-    for (const p of m.placements.values()) if (p.job.spec.shape !== 'gang') this.stop(p, p.job.spec.saveS);
-  }
-
-  /**
-   * Stops that a worker has not been told yet, to be sent straight to it: a cancelled task is of no use to
-   * anybody, and a gang's tasks must hear of an orderly stop at about the same time.
-   */
-  private sendStops(out: Effect[]): void {
-    if (this.unsentStops.size === 0) return;
-    const byMachine = new Map<MachineRun, Order[]>();
-    for (const p of this.unsentStops) {
-      const m = this.machines.get(p.host);
-      if (p.job.active.get(p.index) !== p || p.stop === null) {
-        this.unsentStops.delete(p);
-        continue;
-      }
-      if (!m || m.endpoint === '' || m.provenAt === 0 || (p.sent === null && p.phase === 'placed')) continue;
-      const orders = byMachine.get(m) ?? [];
-      if (orders.length >= ordersPerAnswer) continue;
-      this.unsentStops.delete(p);
-      byMachine.set(m, orders);
-      orders.push({ op: 'stop', job: p.job.id, index: p.index, attempt: p.attempt, graceS: p.stop.graceS });
-    }
-    for (const [m, orders] of byMachine)
-      out.push({
-        e: 'order',
-        host: m.host,
-        endpoint: m.endpoint,
-        token: m.token,
-        session: m.session,
-        orders,
-      });
-  }
-
   // ---- time ----
 
   tick(out: Effect[]): void {
@@ -894,7 +607,7 @@
     this.unblock();
     this.retryFinish();
     if (this.lastSweep < 0 || now - this.lastSweep >= 1000) {
-      if (this.lastSweep >= 0) this.sweep((now - this.lastSweep) / 1000);
+      if (this.lastSweep >= 0) this.upkeep.sweep((now - this.lastSweep) / 1000);
       this.lastSweep = now;
     }
     this.flushEnds();
@@ -913,132 +626,14 @@
         }
       }
     }
-    this.sendStops(out);
-  }
-
-  /** Machines that fell silent, never came up, stand idle or are given up. */
-  private sweep(elapsedS: number): void {
-    const now = this.clock.now;
-    const w = this.settings.workers;
-    let spot = 0;
-    for (const m of this.machines.values()) {
-      if (m.record.spot && m.heardAt > 0) spot++;
-      const silentS = (now - m.heardAt) / 1000;
-      // Steady clocks differ by up to 0.05%; the margin also covers a lease check that comes late.
-      if (m.placements.size > 0 && now > m.leaseUntil + w.lease_s * 1.5 + 1000) {
-        this.log('info', 'lease of a silent machine ended', { host: m.host, silentS });
-        for (const p of [...m.placements.values()]) this.gone(p, 'lease ended');
-      }
-      if (m.record.standing !== 'use' || m.releasing) continue;
-      // Guards against a hasty new owner: before it was heard, a machine may be up under the earlier one.
-      const quietS = (now - m.takenAt) / 1000;
-      if (m.heardAt > 0 ? silentS > w.lease_s + 2 * w.report_s : quietS > m.type.bootS * 4 + w.lease_s) {
-        if (m.record.spot && m.heardAt > 0 && m.noticeAt === 0) this.hazard.taken();
-        this.release(m, 'dead', m.heardAt > 0 ? 'silent' : 'never came up');
-      } else if (m.condemned && m.placements.size === 0) this.release(m, 'dead', 'failing');
-      else if (m.noticeAt > 0 && m.placements.size === 0) this.release(m, 'dead', 'notice');
-      else if (m.placements.size === 0 && m.provenAt > 0 && now - m.idleSince > this.idleMs(m))
-        this.release(m, 'free', 'idle');
-    }
-    this.hazard.observe(spot, elapsedS);
-    if (now - this.summedAt >= w.lease_s * 500) {
-      this.summedAt = now;
-      this.summarize();
-    }
-  }
-
-  private summedAt = 0;
-
-  /** For operators: how the fleet is used and what waits. */
-  private summarize(): void {
-    const fleet: Record<string, { up: number; coming: number; idle: number; cpus: number; gpus: number }> =
-      {};
-    for (const m of this.machines.values()) {
-      const f = (fleet[`${m.type.name}${m.spot ? ' spot' : ''}`] ??= {
-        up: 0,
-        coming: 0,
-        idle: 0,
-        cpus: 0,
-        gpus: 0,
-      });
-      if (m.provenAt === 0) f.coming++;
-      else f.up++;
-      if (m.provenAt > 0 && m.placements.size === 0) f.idle++;
-      f.cpus += m.used.cpus / m.type.cpus;
-      if (m.type.gpus > 0) f.gpus += m.used.gpus / m.type.gpus;
-    }
-    for (const f of Object.values(fleet)) {
-      f.cpus = Math.round((100 * f.cpus) / (f.up + f.coming)) / 100;
-      f.gpus = Math.round((100 * f.gpus) / (f.up + f.coming)) / 100;
-    }
-    const jobs: Record<
-      string,
-      { jobs: number; waiting: number; placed: number; fetching: number; running: number }
-    > = {};
-    for (const j of this.jobs.values()) {
-      const c = (jobs[j.spec.class] ??= { jobs: 0, waiting: 0, placed: 0, fetching: 0, running: 0 });
-      c.jobs++;
-      c.waiting += this.waitingCount(j);
-      for (const p of j.active.values()) {
-        if (p.phase === 'running') c.running++;
-        else if (p.phase === 'placed') c.placed++;
-        else c.fetching++;
-      }
-    }
-    this.log('info', 'summary', { fleet, jobs, looked: this.looked });
-  }
-
-  /**
-   * How long an idle machine is worth keeping: in proportion to what its replacement would take to be of use,
-   * boot and largest image, and down to half of that for the dearest.
-   */
-  private idleMs(m: MachineRun): number {
-    const perCpu = (t: MachineType): number => t.price / Math.max(t.cpus, 1);
-    const cheapest = Math.min(...this.replica.types.map(perCpu));
-    const replaceS = m.type.bootS + Math.max(0, ...m.images.values());
-    return this.operators['idle-boots'] * Math.max(0.5, cheapest / perCpu(m.type)) * replaceS * 1000;
-  }
-
-  /** Gives a machine back to the leader: idle ones to be used elsewhere, dead ones to be returned. */
-  private release(m: MachineRun, standing: 'free' | 'dead', why: string): void {
-    m.releasing = true;
-    this.log('info', 'releasing machine', { host: m.host, standing, why });
-    const key = machineKey(m.host);
-    this.committer.add({
-      rank: Rank.fleet,
-      build: () => {
-        const grant = this.replica.shards.get(m.record.shard);
-        const usable = this.machines.get(m.host) === m && grant && this.owned.has(m.record.shard);
-        if (!usable || (standing === 'free' && m.placements.size > 0)) {
-          m.releasing = false;
-          return null;
-        }
-        const shard = standing === 'free' ? -1 : m.record.shard;
-        return {
-          when: [
-            { key, stamp: this.replica.stamp(key) },
-            { key: shardKey(m.record.shard), stamp: grant.stamp },
-          ],
-          apply: [{ key, data: machineData({ ...m.record, shard, standing }) }],
-        };
-      },
-      ok: () => undefined,
-      conflict: () => {
-        m.releasing = false;
-      },
-    });
+    this.checkins.sendStops(out);
   }
 }
 
-const later = (r: Report, [session, seq]: [number, number]): boolean =>
-  r.session > session || (r.session === session && r.seq > seq);
-
 /** What the leader and the next owner must know of a job's failures; kept with its first tasks. */
 const failedOn = (job: JobRun, chunk: Chunk): string[] =>
   chunk.number === 0 && job.successes === 0 ? [...job.errors].slice(0, mostFailedKept) : [];
 
-const forgetKey = (host: string, piece: string, attempt: number): string => `${host} ${piece} ${attempt}`;
-
 /** Stands in for the description of a cancelled job: only what its last tasks take matters now. */
 const remains = (record: JobRecord, use: JobUse): JobSpec => ({
   id: record.id,
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -4,9 +4,10 @@
 import { mayMove, moveBudget, spotAllowed, zoneOpen } from '../policy/guardrails.js';
 import { moveUrgency, order, score, type Candidate, type Weights } from '../policy/helios.js';
 import { suspect } from './blame.js';
-import type { Dispatcher, JobRun, MachineRun, Placement } from './dispatcher.js';
+import type { Dispatcher } from './dispatcher.js';
+import type { JobRun, MachineRun, Placement } from './runs.js';
 import type { Objective, Settings } from '../config/settings.js';
-import { isLimitless, lateness, limitsOf, slackS } from '../policy/deadlines.js';
+import { isLimitless, lateness, limitsOf, promptGuarantee, slackS } from '../policy/deadlines.js';
 import type { Operators } from '../config/operators.js';
 import { Openings } from './openings.js';
 
@@ -139,7 +140,7 @@
     d.settings.objectives,
     d.clock.wall,
     pressingS(d.settings),
-    d.entitled,
+    promptGuarantee(d.settings.objectives) ? d.entitled : new Set(),
   );
   // Guards against a job with a mistake that has room kept for as long as it is tried.
   const keep = gpuShare(waiting.filter((j) => !suspect(j)));
@@ -158,7 +159,7 @@
   let yielding = 0;
   d.endClaims();
   // Work of one level is of like urgency, and either all within its teams' guarantees or none.
-  const levelOf = (job: JobRun): number => urgencyRank[job.spec.urgency] + (d.entitled.has(job) ? 10 : 0);
+  const levelOf = (job: JobRun): number => urgencyRank[job.spec.urgency] + (demandsNow(d, job) ? 10 : 0);
   let level = Infinity;
   for (const job of waiting) {
     if (levelOf(job) < level) {
@@ -510,12 +511,19 @@
   lost: number;
 }
 
-/** What is lost by stopping a task, in CPU-seconds: what it saves is not lost. */
-function loss(d: Dispatcher, p: Placement): number {
+/**
+ * Whether a job within its team's guarantee has others stopped for it at once. Only where operators say by when such jobs
+ * are to start; elsewhere its limits decide, like anybody's: stopping others early loses their work.
+ */
+const demandsNow = (d: Dispatcher, job: JobRun): boolean =>
+  d.entitled.has(job) && promptGuarantee(d.settings.objectives);
+
+/** What is lost by stopping a task, in CPU-seconds: what it saves is not lost, but `againS` to get going again. */
+function loss(d: Dispatcher, p: Placement, againS: number): number {
   if (p.stop !== null || p.ranAt === 0) return 0;
   const { spec } = p.job;
   const ranS = (d.clock.now - p.ranAt) / 1000;
-  return Math.max(spec.cpus, 0.1) * (spec.checkpointS > 0 ? Math.min(ranS, spec.saveS) : ranS);
+  return Math.max(spec.cpus, 0.1) * (spec.checkpointS > 0 ? Math.min(ranS, spec.saveS + againS) : ranS);
 }
 
 /** Of plans in order of loss: those of the zone where so many of them lose least together. */
@@ -551,9 +559,10 @@
   const kinds = d.replica.types.filter((t) => typeAllowed(spec, t));
   const bootS = Math.min(...kinds.map((t) => t.bootS + fetchS(spec, t)));
   const hurry = Number.isFinite(slack) ? slack : 2 * bootS - ageS;
-  // Work within a guarantee need not wait for other teams.
-  if (!entitled && hurry > bootS + 2 * d.settings.workers.report_s) return false;
+  if (!demandsNow(d, job) && hurry > bootS + 2 * d.settings.workers.report_s) return false;
   let plans: Plan[] = [];
+  // For a whole machine much is stopped at once: what saves has to fetch and to queue again, so it counts like the rest.
+  const lossOf = (p: Placement): number => loss(d, p, Infinity);
   const kept = round.claimed.get(job.id) ?? [];
   for (const m of [...kept, ...round.all]) {
     round.openings.looked++;
@@ -563,7 +572,7 @@
     const victims: Placement[] = [];
     let lost = 0;
     const all = [...m.placements.values()].filter((p) => p.stop !== null || mayStop(d, job, p, entitled));
-    all.sort((a, b) => loss(d, a) - loss(d, b));
+    all.sort((a, b) => lossOf(a) - lossOf(b));
     for (const p of all) {
       if (fits(spec, room)) break;
       // A gang stops as a whole; that loses more than the room is worth.
@@ -572,7 +581,7 @@
       room.gpus += p.job.spec.gpus;
       room.memGb += p.job.spec.memGb;
       victims.push(p);
-      lost += loss(d, p);
+      lost += lossOf(p);
     }
     if (fits(spec, room)) plans.push({ m, victims, lost });
   }
@@ -600,7 +609,7 @@
 function givesWay(d: Dispatcher, job: JobRun, victim: Placement): boolean {
   const { spec } = victim.job;
   if (victim.stop !== null || spec.shape !== 'array') return false;
-  if (d.entitled.has(job)) return mayStop(d, job, victim, true);
+  if (demandsNow(d, job)) return mayStop(d, job, victim, true);
   // Work that nobody waits for by a certain time, and that loses next to nothing.
   return (
     urgencyRank[spec.urgency] < urgencyRank[job.spec.urgency] &&
@@ -617,7 +626,7 @@
  */
 function makeYield(d: Dispatcher, job: JobRun, round: ShardRound, keep: GpuShare | null): boolean {
   const { spec } = job;
-  const entitled = d.entitled.has(job);
+  const entitled = demandsNow(d, job);
   if (!entitled && ![...d.activeBy].some(([u, n]) => n > 0 && u < urgencyRank[spec.urgency])) return false;
   let need = Math.min(d.waitingCount(job), timesFits(spec, d.teamRoom(spec.team)));
   const crowd = mayCrowd(d, round, job);
@@ -638,12 +647,12 @@
       need -= n;
     }
     const victims = [...m.placements.values()].filter((p) => givesWay(d, job, p));
-    victims.sort((a, b) => loss(d, a) - loss(d, b));
+    victims.sort((a, b) => loss(d, a, 0) - loss(d, b, 0));
     let plan: Plan = { m, victims: [], lost: 0 };
     for (const p of victims) {
       add(room, p.job.spec, 1);
       plan.victims.push(p);
-      plan.lost += loss(d, p);
+      plan.lost += loss(d, p, 0);
       if (!fits(spec, keptRoom(spec, room, keep, crowd))) continue;
       add(room, spec, -1);
       plans.push(plan);
--- /dev/null
+++ b/src/core/runs.ts
@@ -0,0 +1,102 @@
+import type { JobSpec } from '../model/job.js';
+import type { Fits, MachineType } from '../model/machine.js';
+import type { TaskPhase } from '../model/report.js';
+import type { Rank } from './committer.js';
+import type { Bits } from './records.js';
+import type { Machine } from './replica.js';
+
+/** A task's present attempt. It exists from the decision to place until it is proven gone. */
+export interface Placement {
+  job: JobRun;
+  index: number;
+  attempt: number;
+  host: string;
+  chunk: Chunk;
+  /** The chunk's version that first holds it: durable once that version is. */
+  version: number;
+  /** Decided by this process, so nobody else can have sent its start. */
+  own: boolean;
+  /** The (session, seq) of the report whose answer carried the start. */
+  sent: [number, number] | null;
+  phase: TaskPhase | 'placed';
+  /** When it was first seen to run, ms; 0: not yet. */
+  ranAt: number;
+  placedAt: number;
+  /** Wanted off its machine, with this much time to save. */
+  stop: { graceS: number; since: number } | null;
+}
+
+export interface Chunk {
+  number: number;
+  base: number;
+  size: number;
+  stamp: number;
+  last: number;
+  done: Bits;
+  /** Version in memory, and the newest version known to be durable. */
+  version: number;
+  /** The version that holds the newest placement. */
+  placed: number;
+  durable: number;
+  /** Its write that waits or is under way. */
+  queued: { rank: Rank } | null;
+  /** Not to be written before the view has reached this revision. */
+  blockedUntil: number;
+}
+
+export interface JobRun {
+  id: string;
+  spec: JobSpec;
+  shard: number;
+  at: number;
+  stamp: number;
+  cancelled: boolean;
+  chunks: Chunk[];
+  active: Map<number, Placement>;
+  /** Tasks that wait for a place: those never placed from `fresh` on, and those to be placed again. */
+  fresh: number;
+  retry: Set<number>;
+  done: number;
+  zones: Map<string, number>;
+  finishing: boolean;
+  /** Gang: an attempt is being taken down; nothing starts until all of it is gone. */
+  breaking: boolean;
+  /** Machines on which its tasks failed. */
+  errors: Set<string>;
+  /** How often it was tried in vain since it is suspected of a mistake. */
+  probes: number;
+  /** It found no place where it has not failed yet: it may be tried on any machine. */
+  anywhere: boolean;
+  successes: number;
+  notBefore: number;
+}
+
+export interface MachineRun {
+  host: string;
+  record: Machine;
+  type: MachineType;
+  zone: string;
+  spot: boolean;
+  used: Fits;
+  placements: Map<string, Placement>;
+  endpoint: string;
+  session: number;
+  seq: number;
+  /** Last report under our present token, ms; 0: none yet. */
+  provenAt: number;
+  heardAt: number;
+  /** Not before this can its worker's lease have ended. */
+  leaseUntil: number;
+  token: number;
+  noticeAt: number;
+  avoidUntil: number;
+  idleSince: number;
+  /** How many tasks of which jobs failed on it since it last completed one. */
+  failures: Map<string, number>;
+  /** Images seen on it, and how long they take to fetch, s. */
+  images: Map<string, number>;
+  /** When this process took it up, ms. */
+  takenAt: number;
+  condemned: boolean;
+  releasing: boolean;
+}
--- a/src/policy/deadlines.ts
+++ b/src/policy/deadlines.ts
@@ -38,6 +38,10 @@
 /** True if nothing says by when a job should start or be done. */
 export const isLimitless = (limits: Limits): boolean => limits.done.length + limits.started.length === 0;
 
+/** True if the operators say by when work within a guarantee should start. */
+export const promptGuarantee = (objectives: Objective[]): boolean =>
+  objectives.some((o) => o.kind === 'guarantee' && o.within_s !== undefined);
+
 /**
  * How many of its limits a job can no longer keep. Work that can still be in time goes before work that is
  * late already: otherwise, in an overload, every job waits behind those that nothing can save any more.
--- a/test/world.ts
+++ b/test/world.ts
@@ -32,6 +32,10 @@
 cpus_max = 16.0
 [[deployment.teams]]
 name = "blue"
+[[deployment.objectives]]
+kind = "guarantee"
+within_s = 10.0
+share = 0.9
 [deployment.workers]
 report_s = 2.0
 lease_s = 16.0
