Long arrays without GPUs do not go to GPU machines, which they would keep rented

Change: an array's tasks are company only if they are expected to run no longer than two boots of the machine. Ruled out: idle times (no machine stood idle), renting (none was rented for it).

--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -318,12 +318,18 @@
   memGb: m.type.memGb - m.used.memGb,
 });
 
+/** Work without GPUs that runs longer than so many boots of a GPU machine does not go there. */
+const companyBoots = 2;
+
 /**
- * A guardrail of ours: work without GPUs goes to a GPU machine only as company for GPU tasks. Alone it would
- * keep the dearest machines rented for work that cheaper ones can do.
+ * A guardrail of ours: work without GPUs goes to a GPU machine only as company for GPU tasks, and arrays only if their tasks
+ * are short. Alone it would keep the dearest machines rented for work that cheaper ones can do; long tasks would do so after
+ * the GPU work is over.
  */
 export const gpuMachineOpen = (spec: JobSpec, type: MachineType, gpusBusy: number): boolean =>
-  spec.gpus > 0 || type.gpus <= 0 || gpusBusy > 0;
+  spec.gpus > 0 ||
+  type.gpus <= 0 ||
+  (gpusBusy > 0 && (spec.shape !== 'array' || spec.estimateS <= companyBoots * type.bootS));
 
 /** What waiting GPU work needs beside each GPU. */
 export interface GpuShare {
--- a/test/policy.test.ts
+++ b/test/policy.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { gpuMachineOpen } from '../src/core/placement.js';
 import { parseOperators } from '../src/config/operators.js';
 import { parseSettings } from '../src/config/settings.js';
 import { withinGuarantee } from '../src/policy/admission.js';
@@ -7,7 +8,7 @@
 import { HazardEstimate } from '../src/policy/hazard.js';
 import { moveUrgency, order, score, type Candidate } from '../src/policy/helios.js';
 import { parseSubmission } from '../src/wire/user.js';
-import { settingsText, spec } from './world.js';
+import { box, settingsText, spec } from './world.js';
 
 const w = { hazard: 10, anchor: 0.5 };
 const at = (over: Partial<Candidate>): Candidate => ({
@@ -125,3 +126,14 @@
   assert.deepEqual([...withinGuarantee([later, large, first, guest], settings)], [first]);
   assert.deepEqual([...withinGuarantee([later, { ...large, done: 1 }, first, guest], settings)].length, 2);
 });
+
+test('a GPU machine takes short work as company for GPU tasks, not long arrays that would keep it rented after them', () => {
+  const gpuBox = { ...box, gpus: 4, bootS: 40 };
+  const short = spec('req-1', { estimateS: 40 });
+  const long = spec('req-2', { estimateS: 300 });
+  assert.equal(gpuMachineOpen(short, gpuBox, 1), true);
+  assert.equal(gpuMachineOpen(short, gpuBox, 0), false);
+  assert.equal(gpuMachineOpen(long, gpuBox, 1), false);
+  assert.equal(gpuMachineOpen(spec('req-3', { estimateS: 300, gpus: 1 }), gpuBox, 0), true);
+  assert.equal(gpuMachineOpen(long, box, 0), true);
+});
