Core: jobs' books, machines' books, rounds and upkeep have a home each, imports run one way

Change: core/books (jobs, machines, claims, writer), core/round (order of a round, fit, gangs, preemption, yielding, moves), core/checkins, upkeep and summary above them; what is pure went to policy/ (order, pricing, gpus). No decision changed. Ruled out: a facade that forwards to the old dispatcher (keeps the circle).

--- /dev/null
+++ b/src/core/books/books.ts
@@ -0,0 +1,290 @@
+import type { Operators } from '../../config/operators.js';
+import type { Settings } from '../../config/settings.js';
+import { pieceName, urgencyRank } from '../../model/job.js';
+import type { Fits } from '../../model/machine.js';
+import { teamCap } from '../../policy/admission.js';
+import { HazardEstimate } from '../../policy/hazard.js';
+import { fetchS } from '../../policy/pricing.js';
+import type { Committer } from '../committer.js';
+import type { Clock, Log } from '../effects.js';
+import type { JobRecord, Placed } from '../records.js';
+import type { Machine, Replica } from '../replica.js';
+import { Claims } from './claims.js';
+import { chunkOf, isDone, newJob, remains } from './jobs.js';
+import { newMachine } from './machines.js';
+import type { Chunk, JobRun, MachineRun, Placement } from './runs.js';
+import { Writer } from './writer.js';
+
+/** What the books tell: weighed by whoever judges machines. */
+export interface BooksListener {
+  /** A job has completed its first task. */
+  succeeded(job: JobRun): void;
+}
+
+/** The jobs and machines of the shards of this process: what is placed where, what is durable, what waits. */
+export class Books {
+  readonly jobs = new Map<string, JobRun>();
+  readonly machines = new Map<string, MachineRun>();
+  readonly owned = new Set<number>();
+  readonly teamUse = new Map<string, Fits>();
+  /** How many placements there are of each urgency's rank. */
+  readonly activeBy = new Map<number, number>();
+  /** Placements to be stopped whose workers have not been told straight away yet. */
+  readonly unsentStops = new Set<Placement>();
+  readonly claims: Claims;
+  readonly hazard: HazardEstimate;
+  readonly writer: Writer;
+  private readonly chunkTasks: number;
+
+  constructor(
+    readonly settings: Settings,
+    readonly operators: Operators,
+    readonly replica: Replica,
+    committer: Committer,
+    readonly clock: Clock,
+    readonly log: Log,
+    private readonly listener: BooksListener,
+  ) {
+    // A placed task takes up to some 40 bytes of its chunk's value.
+    this.chunkTasks = Math.max(16, Math.min(512, Math.floor((settings.state.value_kb * 1024) / 64)));
+    this.claims = new Claims(clock, settings.workers.lease_s);
+    this.hazard = new HazardEstimate(operators['hazard-prior']);
+    this.writer = new Writer(settings, replica, committer, clock, log, this);
+  }
+
+  /** How old a view may be, ms, for workers to be answered from it. */
+  get freshLimitMs(): number {
+    const { cancel_s, lease_s } = this.settings.workers;
+    return 1000 * Math.min(this.operators['grant-s'], (cancel_s - lease_s) * 0.85);
+  }
+
+  // ---- shards ----
+
+  open(shard: number): void {
+    this.owned.add(shard);
+    for (const m of this.replica.machines.values()) if (m.shard === shard) this.takeMachine(m);
+    for (const job of this.replica.jobs.values()) this.takeJob(job);
+  }
+
+  close(shard: number): void {
+    this.owned.delete(shard);
+    for (const [id, job] of this.jobs) if (job.shard === shard) this.dropJob(id);
+    for (const [host, m] of this.machines) if (m.record.shard === shard) this.machines.delete(host);
+  }
+
+  private takeMachine(record: Machine): void {
+    const type = this.replica.types.find((t) => t.name === record.type);
+    if (!type || this.machines.has(record.host)) return;
+    const { now } = this.clock;
+    // Guards against the stale owner: it may have answered this worker until its own view ran out of date.
+    const leaseUntil = now + this.freshLimitMs + this.settings.workers.lease_s * 1000;
+    this.machines.set(record.host, newMachine(record, type, now, leaseUntil));
+  }
+
+  private takeJob(record: JobRecord): void {
+    if (this.jobs.has(record.id)) return;
+    const stored = this.replica.chunks.get(record.id);
+    const spec = record.spec ?? (record.use && stored ? remains(record, record.use) : null);
+    if (spec === null) return;
+    const shard = this.replica.shardOf(spec.team);
+    if (!this.owned.has(shard)) return;
+    const job = newJob(record, spec, shard, stored, this.chunkTasks);
+    this.jobs.set(job.id, job);
+    for (const [n, c] of stored ?? [])
+      for (const p of c.placed) {
+        const placement = this.enter(job, job.chunks[n], p, false);
+        if (job.cancelled) this.stop(placement, 0);
+        // The machine has been given back: its task is gone with it.
+        if (!this.replica.machines.has(p.host)) this.gone(placement, 'machine returned');
+      }
+    if (spec.shape === 'gang' && job.active.size > 0) this.checkGang(job);
+    if (job.done >= spec.tasks && !job.cancelled && spec.shape !== 'service') this.writer.finish(job);
+    this.checkCancelled(job);
+  }
+
+  private dropJob(id: string): void {
+    const job = this.jobs.get(id);
+    if (!job) return;
+    for (const p of job.active.values()) {
+      this.machines.get(p.host)?.placements.delete(pieceName(job.id, p.index));
+      this.use(p, -1);
+    }
+    this.jobs.delete(id);
+  }
+
+  reread(id: string): void {
+    this.dropJob(id);
+    const record = this.replica.jobs.get(id);
+    if (record) this.takeJob(record);
+  }
+
+  // ---- changes seen by the replica ----
+
+  jobChanged(id: string, record: JobRecord | undefined): void {
+    if (!record) return;
+    const job = this.jobs.get(id);
+    if (!job) {
+      if (record.state === 'open') this.takeJob(record);
+      return;
+    }
+    job.stamp = record.stamp;
+    if (record.state === 'cancelled' && !job.cancelled) {
+      job.cancelled = true;
+      for (const p of [...job.active.values()]) {
+        if (p.own && p.sent === null) this.gone(p, 'cancelled before its start');
+        else {
+          // No saving for a cancelled task, also if it is being stopped in order already.
+          p.stop = null;
+          this.stop(p, 0);
+        }
+      }
+      this.checkCancelled(job);
+    }
+  }
+
+  machineChanged(host: string, now: Machine | undefined): void {
+    const m = this.machines.get(host);
+    if (now && this.owned.has(now.shard)) {
+      if (m) {
+        m.record = now;
+        m.releasing = false;
+        if (now.standing === 'dead') m.condemned = true;
+      } else this.takeMachine(now);
+      return;
+    }
+    // Its record is dropped only after the cloud has confirmed the deletion: all that was on it is gone.
+    if (m && !now) for (const p of [...m.placements.values()]) this.gone(p, 'machine returned');
+    this.machines.delete(host);
+  }
+
+  // ---- placements ----
+
+  private enter(job: JobRun, chunk: Chunk, p: Placed, own: boolean): Placement {
+    const placement: Placement = {
+      job,
+      index: p.index,
+      attempt: p.attempt,
+      host: p.host,
+      chunk,
+      version: own ? chunk.version : 0,
+      own,
+      sent: null,
+      phase: 'placed',
+      ranAt: 0,
+      placedAt: this.clock.now,
+      stop: null,
+    };
+    job.active.set(p.index, placement);
+    this.machines.get(p.host)?.placements.set(pieceName(job.id, p.index), placement);
+    this.use(placement, 1);
+    return placement;
+  }
+
+  /** Counts a placement in or out: in its machine, its team and its zone. */
+  private use(p: Placement, sign: 1 | -1): void {
+    const { spec } = p.job;
+    const m = this.machines.get(p.host);
+    let team = this.teamUse.get(spec.team);
+    if (!team) this.teamUse.set(spec.team, (team = { cpus: 0, gpus: 0, memGb: 0 }));
+    for (const use of m ? [team, m.used] : [team]) {
+      use.cpus += sign * spec.cpus;
+      use.gpus += sign * spec.gpus;
+      use.memGb += sign * spec.memGb;
+    }
+    const rank = urgencyRank[spec.urgency];
+    this.activeBy.set(rank, (this.activeBy.get(rank) ?? 0) + sign);
+    const zone = m?.record.zone ?? this.replica.machines.get(p.host)?.zone;
+    if (zone !== undefined) p.job.zones.set(zone, (p.job.zones.get(zone) ?? 0) + sign);
+    if (m && m.placements.size === 0) m.idleSince = this.clock.now;
+  }
+
+  teamRoom(team: string): Fits {
+    const cap = teamCap(this.settings, team);
+    const use = this.teamUse.get(team);
+    return { cpus: cap.cpus - (use?.cpus ?? 0), gpus: cap.gpus - (use?.gpus ?? 0), memGb: Infinity };
+  }
+
+  /** Places tasks of one job together; they start once all of it is durable. */
+  place(job: JobRun, at: { index: number; host: string }[], attempt?: number): void {
+    const chunks = new Set(at.map((a) => chunkOf(job, a.index)));
+    for (const c of chunks) c.placed = ++c.version;
+    for (const a of at) {
+      if (job.active.has(a.index)) {
+        this.log('error', 'placed already', { piece: pieceName(job.id, a.index) });
+        continue;
+      }
+      const chunk = chunkOf(job, a.index);
+      if (attempt !== undefined) chunk.last = Math.max(chunk.last, attempt);
+      this.enter(job, chunk, { index: a.index, attempt: attempt ?? ++chunk.last, host: a.host }, true);
+      // On its way: tasks that come later share the fetch.
+      const m = this.machines.get(a.host);
+      if (m) m.images.set(job.spec.image, fetchS(job.spec, m.type));
+    }
+    for (const c of chunks) this.writer.queue(job, c);
+  }
+
+  /** The attempt is proven gone (or over): it counts no more, and its record is to be removed. */
+  gone(p: Placement, why: string, outcome: 'done' | 'again' = 'again'): void {
+    const { job, chunk } = p;
+    if (job.active.get(p.index) !== p) return;
+    job.active.delete(p.index);
+    this.machines.get(p.host)?.placements.delete(pieceName(job.id, p.index));
+    this.use(p, -1);
+    chunk.version++;
+    this.writer.noteEnd(job, chunk);
+    this.log('debug', 'task gone', {
+      piece: pieceName(job.id, p.index),
+      attempt: p.attempt,
+      host: p.host,
+      why,
+    });
+    if (outcome === 'done') {
+      if (!isDone(job, p.index)) {
+        chunk.done.add(p.index - chunk.base);
+        job.done++;
+        if (job.successes++ === 0) this.listener.succeeded(job);
+      }
+      if (job.done >= job.spec.tasks && job.spec.shape !== 'service' && !job.cancelled)
+        this.writer.finish(job);
+    } else if (!job.cancelled) {
+      // Guards against handing a task out twice in one round: ahead of `fresh` it is found there, and after a
+      // takeover `fresh` starts anew.
+      if (p.index < job.fresh) job.retry.add(p.index);
+      if (job.spec.shape === 'gang') this.checkGang(job, p);
+    }
+    this.checkCancelled(job);
+  }
+
+  /** A gang that lost a task cannot go on with this attempt: it is taken down, then placed again whole. */
+  private checkGang(job: JobRun, lost?: Placement): void {
+    const missing = job.spec.tasks - job.done - job.active.size;
+    if (missing > 0 && job.active.size > 0) {
+      if (!job.breaking) this.log('info', 'gang broken', { job: job.id, lost: lost?.index });
+      job.breaking = true;
+      for (const p of job.active.values()) this.stop(p, 0);
+      for (const p of [...job.active.values()]) if (p.own && p.sent === null) this.gone(p, 'gang broken');
+    }
+    if (job.active.size === 0) job.breaking = false;
+  }
+
+  private checkCancelled(job: JobRun): void {
+    if (!job.cancelled || job.active.size > 0 || this.jobs.get(job.id) !== job) return;
+    this.jobs.delete(job.id);
+    this.writer.dropChunks(job);
+  }
+
+  // ---- stops ----
+
+  /** Stops a whole gang in order: every task gets time to save, all at about the same time. */
+  stopGang(job: JobRun): void {
+    job.breaking = true;
+    for (const p of job.active.values()) this.stop(p, job.spec.saveS);
+  }
+
+  /** Wants a task off its machine, with time to save; one that is being stopped already stays as it is. */
+  stop(p: Placement, graceS: number): void {
+    if (p.stop !== null) return;
+    p.stop = { graceS, since: this.clock.now };
+    this.unsentStops.add(p);
+  }
+}
--- a/src/core/runs.ts
+++ b/src/core/books/runs.ts
@@ -1,9 +1,9 @@
-import type { JobSpec } from '../model/job.js';
-import type { Fits, MachineType } from '../model/machine.js';
-import type { TaskPhase } from '../model/report.js';
-import type { Rank } from './committer.js';
-import type { Bits } from './records.js';
-import type { Machine } from './replica.js';
+import type { JobSpec } from '../../model/job.js';
+import type { Fits, MachineType } from '../../model/machine.js';
+import type { TaskPhase } from '../../model/report.js';
+import type { Rank } from '../committer.js';
+import type { Bits } from '../records.js';
+import type { Machine } from '../replica.js';
 
 /** A task's present attempt. It exists from the decision to place until it is proven gone. */
 export interface Placement {
@@ -52,6 +52,8 @@
   stamp: number;
   cancelled: boolean;
   chunks: Chunk[];
+  /** How many tasks each chunk but the last has. */
+  chunkTasks: number;
   active: Map<number, Placement>;
   /** Tasks that wait for a place: those never placed from `fresh` on, and those to be placed again. */
   fresh: number;
--- a/src/core/checkins.ts
+++ b/src/core/checkins.ts
@@ -1,10 +1,10 @@
 import { pieceName } from '../model/job.js';
 import type { Order, Report, TaskReport } from '../model/report.js';
 import { enoughEvidence, evidence, suspect, suspectMachines } from './blame.js';
-import type { Dispatcher } from './dispatcher.js';
+import type { Books } from './books/books.js';
 import type { Effect } from './effects.js';
-import { fetchS } from './placement.js';
-import type { Chunk, JobRun, MachineRun, Placement } from './runs.js';
+import { fetchS } from '../policy/pricing.js';
+import type { Chunk, JobRun, MachineRun, Placement } from './books/runs.js';
 
 const ordersPerAnswer = 400;
 /** A job that fails wherever it goes is tried again after so many worker leases at the latest. */
@@ -15,11 +15,11 @@
   /** Exited tasks that are to be forgotten once their end is durable. */
   private readonly pendingForget = new Map<string, { chunk: Chunk; version: number; job: JobRun }>();
 
-  constructor(private readonly d: Dispatcher) {}
+  constructor(private readonly books: Books) {}
 
   /** Takes in a report of a machine of ours; returns the orders to answer with. */
   checkin(m: MachineRun, report: Report, token: number): Order[] {
-    const now = this.d.clock.now;
+    const now = this.books.clock.now;
     m.endpoint = report.endpoint;
     m.heardAt = now;
     if (m.token !== token) {
@@ -28,7 +28,7 @@
     }
     // Under our token no earlier owner can renew the lease any more.
     const proof = report.token === token;
-    const leaseEnd = now + this.d.settings.workers.lease_s * 1000;
+    const leaseEnd = now + this.books.settings.workers.lease_s * 1000;
     m.leaseUntil = proof ? leaseEnd : Math.max(m.leaseUntil, leaseEnd);
     // Guards against the late report: its list is as old as itself, and its answer will be dropped.
     if (report.session < m.session || (report.session === m.session && report.seq <= m.seq)) return [];
@@ -56,13 +56,17 @@
       } else if (t.phase === 'exited') {
         const held = this.pendingForget.get(forgetKey(m.host, piece, t.attempt));
         // Guards against losing a result: a task is forgotten only after its end is durable.
-        if (!held || held.chunk.durable >= held.version || this.d.jobs.get(held.job.id) !== held.job) {
-          if (!held || this.d.replica.jobs.get(t.job)?.state !== 'open' || held.chunk.durable >= held.version)
+        if (!held || held.chunk.durable >= held.version || this.books.jobs.get(held.job.id) !== held.job) {
+          if (
+            !held ||
+            this.books.replica.jobs.get(t.job)?.state !== 'open' ||
+            held.chunk.durable >= held.version
+          )
             orders.push({ op: 'forget', job: t.job, index: t.index, attempt: t.attempt });
           this.pendingForget.delete(forgetKey(m.host, piece, t.attempt));
         }
       } else if (proof) {
-        this.d.log('warn', 'stray task', { piece, attempt: t.attempt, host: m.host });
+        this.books.log('warn', 'stray task', { piece, attempt: t.attempt, host: m.host });
         orders.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
       }
     }
@@ -85,7 +89,7 @@
   }
 
   private observe(m: MachineRun, p: Placement, t: TaskReport): void {
-    const now = this.d.clock.now;
+    const now = this.books.clock.now;
     if (t.phase !== 'exited') {
       p.phase = t.phase;
       m.images.set(p.job.spec.image, fetchS(p.job.spec, m.type));
@@ -95,13 +99,14 @@
     const { job } = p;
     if (t.why === 'done') {
       m.failures.clear();
-      this.d.gone(p, 'done', 'done');
+      this.books.gone(p, 'done', 'done');
     } else {
-      this.d.log('debug', 'task ended', { piece: pieceName(job.id, p.index), host: m.host, why: t.why });
+      this.books.log('debug', 'task ended', { piece: pieceName(job.id, p.index), host: m.host, why: t.why });
       if (t.why === 'error') this.onError(m, job);
-      if (t.why === 'full' || t.why === 'busy') m.avoidUntil = now + this.d.settings.workers.report_s * 2000;
-      if (t.why === 'unknown') job.notBefore = now + this.d.settings.workers.report_s * 1000;
-      this.d.gone(p, t.why ?? 'exited');
+      if (t.why === 'full' || t.why === 'busy')
+        m.avoidUntil = now + this.books.settings.workers.report_s * 2000;
+      if (t.why === 'unknown') job.notBefore = now + this.books.settings.workers.report_s * 1000;
+      this.books.gone(p, t.why ?? 'exited');
     }
     this.pendingForget.set(forgetKey(m.host, pieceName(job.id, p.index), p.attempt), {
       chunk: p.chunk,
@@ -112,24 +117,25 @@
 
   /** A newer report under our token does not list the attempt: it is not on the machine. */
   private absent(m: MachineRun, p: Placement): void {
-    if (p.stop || p.job.cancelled) return this.d.gone(p, 'absent');
+    if (p.stop || p.job.cancelled) return this.books.gone(p, 'absent');
     if (p.phase === 'placed') {
       // Never seen there; its start is sent (again) with this answer. A machine under notice gets none.
-      if (m.noticeAt > 0 || m.condemned) this.d.gone(p, 'machine not to be used');
+      if (m.noticeAt > 0 || m.condemned) this.books.gone(p, 'machine not to be used');
       return;
     }
-    this.d.gone(p, 'vanished');
+    this.books.gone(p, 'vanished');
   }
 
   private onNotice(m: MachineRun, noticeS: number): void {
-    m.noticeAt = this.d.clock.now + noticeS * 1000;
-    this.d.hazard.taken();
-    this.d.log('info', 'notice', { host: m.host, noticeS });
+    m.noticeAt = this.books.clock.now + noticeS * 1000;
+    this.books.hazard.taken();
+    this.books.log('info', 'notice', { host: m.host, noticeS });
     for (const p of m.placements.values()) {
       const { spec } = p.job;
       // What can save, saves; what cannot may still finish in time.
-      if (spec.checkpointS > 0 && spec.shape !== 'gang' && spec.saveS <= noticeS) this.d.stop(p, spec.saveS);
-      if (spec.shape === 'gang') this.d.stopGang(p.job);
+      if (spec.checkpointS > 0 && spec.shape !== 'gang' && spec.saveS <= noticeS)
+        this.books.stop(p, spec.saveS);
+      if (spec.shape === 'gang') this.books.stopGang(p.job);
     }
   }
 
@@ -140,36 +146,40 @@
     if (!suspect(job)) return this.judge(m);
     // Guards against a crowd of first tries that all fail at about the same time: together they are one.
     if (job.active.size <= 1) job.probes++;
-    const w = this.d.settings.workers;
+    const w = this.books.settings.workers;
     const waitS = Math.min(longestRetryLeases * w.lease_s, w.report_s * 2 ** job.probes);
-    job.notBefore = this.d.clock.now + waitS * 1000;
+    job.notBefore = this.books.clock.now + waitS * 1000;
     // The machines that it failed on first are cleared.
     if (before < job.errors.size && job.errors.size === suspectMachines) {
-      this.d.log('info', 'job fails on several machines', { job: job.id, hosts: [...job.errors] });
+      this.books.log('info', 'job fails on several machines', { job: job.id, hosts: [...job.errors] });
       this.judgeAll(job);
       job.chunks[0].version++;
-      this.d.noteEnd(job, job.chunks[0]);
+      this.books.writer.noteEnd(job, job.chunks[0]);
     }
   }
 
   judgeAll(job: JobRun): void {
     for (const host of job.errors) {
-      const m = this.d.machines.get(host);
+      const m = this.books.machines.get(host);
       if (m) this.judge(m);
     }
   }
 
   /** Weighs what failed on a machine: it is given up, rests for a while, or is cleared. */
   private judge(m: MachineRun): void {
-    const against = evidence(m.failures, (id) => this.d.jobs.get(id));
+    const against = evidence(m.failures, (id) => this.books.jobs.get(id));
     if (against < enoughEvidence) {
-      m.avoidUntil = against > 0 ? this.d.clock.now + this.d.settings.workers.report_s * 4000 : 0;
+      m.avoidUntil = against > 0 ? this.books.clock.now + this.books.settings.workers.report_s * 4000 : 0;
       return;
     }
     if (m.condemned) return;
-    this.d.log('warn', 'machine fails its tasks', { host: m.host, failures: Object.fromEntries(m.failures) });
+    this.books.log('warn', 'machine fails its tasks', {
+      host: m.host,
+      failures: Object.fromEntries(m.failures),
+    });
     m.condemned = true;
-    for (const p of m.placements.values()) if (p.job.spec.shape !== 'gang') this.d.stop(p, p.job.spec.saveS);
+    for (const p of m.placements.values())
+      if (p.job.spec.shape !== 'gang') this.books.stop(p, p.job.spec.saveS);
   }
 
   /**
@@ -177,18 +187,18 @@
    * anybody, and a gang's tasks must hear of an orderly stop at about the same time.
    */
   sendStops(out: Effect[]): void {
-    if (this.d.unsentStops.size === 0) return;
+    if (this.books.unsentStops.size === 0) return;
     const byMachine = new Map<MachineRun, Order[]>();
-    for (const p of this.d.unsentStops) {
-      const m = this.d.machines.get(p.host);
+    for (const p of this.books.unsentStops) {
+      const m = this.books.machines.get(p.host);
       if (p.job.active.get(p.index) !== p || p.stop === null) {
-        this.d.unsentStops.delete(p);
+        this.books.unsentStops.delete(p);
         continue;
       }
       if (!m || m.endpoint === '' || m.provenAt === 0 || (p.sent === null && p.phase === 'placed')) continue;
       const orders = byMachine.get(m) ?? [];
       if (orders.length >= ordersPerAnswer) continue;
-      this.d.unsentStops.delete(p);
+      this.books.unsentStops.delete(p);
       byMachine.set(m, orders);
       orders.push({ op: 'stop', job: p.job.id, index: p.index, attempt: p.attempt, graceS: p.stop.graceS });
     }
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -46,8 +46,8 @@
     private readonly log: Log,
   ) {
     this.replica = new Replica({
-      jobChanged: (id, now) => this.dispatcher.jobChanged(id, now),
-      machineChanged: (host, now) => this.dispatcher.machineChanged(host, now),
+      jobChanged: (id, now) => this.dispatcher.books.jobChanged(id, now),
+      machineChanged: (host, now) => this.dispatcher.books.machineChanged(host, now),
       shardChanged: () => (this.shardsChanged = true),
     });
     const s = settings.state;
@@ -68,7 +68,7 @@
     this.desk = new Desk(settings, this.replica, this.committer, this.clock);
     this.dispatcher = new Dispatcher(settings, operators, run, this.replica, this.committer, this.clock, log);
     this.fleet = new Fleet(settings, operators, this.replica, this.committer, this.clock, log);
-    this.fleet.hazardPerStep = () => this.dispatcher.hazard.perStep(operators['hazard-step-s']);
+    this.fleet.hazardPerStep = () => this.dispatcher.books.hazard.perStep(operators['hazard-step-s']);
   }
 
   /** Workers that were sent on to their owner, and when, ms. */
@@ -118,7 +118,7 @@
     // Also without requests the view's age must be known: workers are answered only from a fresh one.
     // The leader needs one that is younger than its state lease.
     const readEveryMs = Math.min(
-      this.dispatcher.freshLimitMs / 8,
+      this.dispatcher.books.freshLimitMs / 8,
       leading ? this.membership.ttlMs / 4 : Infinity,
     );
     if (clock.now - this.readAt > readEveryMs && this.replica.epoch >= 0) out.push({ e: 'epoch' });
@@ -149,7 +149,7 @@
       return false;
     });
     if (this.readings.length > 50) this.readings.splice(0, 25);
-    const lost = Number.isFinite(this.viewAgeMs) && this.viewAgeMs > this.dispatcher.freshLimitMs / 2;
+    const lost = Number.isFinite(this.viewAgeMs) && this.viewAgeMs > this.dispatcher.books.freshLimitMs / 2;
     if (lost !== this.stateLost) {
       this.stateLost = lost;
       if (lost) this.log('warn', 'state service not reached', { forMs: Math.round(this.viewAgeMs) });
@@ -245,7 +245,7 @@
       void out.push({ e: 'answer', rid, status, body, retryAfterS });
     // Guards against acting on an old view: a cancellation seen by users could be missed here, and the
     // answer would keep the task alive.
-    if (this.viewAgeMs > this.dispatcher.freshLimitMs) return answer(503, {}, 1);
+    if (this.viewAgeMs > this.dispatcher.books.freshLimitMs) return answer(503, {}, 1);
     const { member } = this.settings;
     const m = this.replica.machines.get(report.host);
     if (!m) {
--- a/src/core/demand.ts
+++ b/src/core/demand.ts
@@ -6,7 +6,9 @@
 import { limitsOf, slackS } from '../policy/deadlines.js';
 import { spotAllowed } from '../policy/guardrails.js';
 import { mostFailedKept, suspectMachines } from './blame.js';
-import { anchorPrice, fetchS, gpuMachineOpen, inOrder, pressingS } from './placement.js';
+import { gpuMachineOpen } from '../policy/gpus.js';
+import { inOrder, pressingS } from '../policy/order.js';
+import { anchorPrice, fetchS } from '../policy/pricing.js';
 import type { JobRecord } from './records.js';
 import type { Machine, Replica } from './replica.js';
 
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -11,7 +11,8 @@
 import { Demand, emptyRoom, kindOf, mayUse, slotName, type Unmet } from './demand.js';
 import type { Clock, Effect, Log } from './effects.js';
 import { blockKey, leadKey, machineKey, typesKey } from './keys.js';
-import { anchorPrice, candidate, fetchS, gpuMachineOpen, weights } from './placement.js';
+import { gpuMachineOpen } from '../policy/gpus.js';
+import { anchorPrice, candidate, fetchS, weights } from '../policy/pricing.js';
 import { blockData, machineData, typesData } from './records.js';
 import type { Machine, Replica } from './replica.js';
 
--- /dev/null
+++ b/src/core/round/fit.ts
@@ -0,0 +1,65 @@
+import { isPremium, type JobSpec } from '../../model/job.js';
+import type { MachineType } from '../../model/machine.js';
+import { typeAllowed } from '../../policy/admission.js';
+import { limitsOf, slackS } from '../../policy/deadlines.js';
+import { gpuMachineOpen } from '../../policy/gpus.js';
+import { score } from '../../policy/helios.js';
+import { anchorPrice, candidate, fetchS, weights } from '../../policy/pricing.js';
+import type { Books } from '../books/books.js';
+import { usable } from '../books/machines.js';
+import type { JobRun, MachineRun } from '../books/runs.js';
+import type { ShardRound } from './shard.js';
+
+/** The machines kept for a job, then those open to all. */
+export function* candidates(job: JobRun, round: ShardRound): Generator<MachineRun> {
+  for (const m of round.claimed.get(job.id) ?? []) if (usable(round.books, m) && openTo(job, m)) yield m;
+  yield* eligible(job, round);
+}
+
+/**
+ * Whether premium work without GPUs may take what GPU work needs of a GPU machine: only where there is no other
+ * machine for it, or when one that is rented now would come too late.
+ */
+export function mayCrowd(round: ShardRound, job: JobRun): boolean {
+  const { spec } = job;
+  const { books } = round;
+  if (!isPremium(spec)) return false;
+  if (![...round.types].some((t) => t.gpus <= 0 && typeAllowed(spec, t))) return true;
+  const limits = limitsOf(spec, books.settings.objectives);
+  let reach = Infinity;
+  for (const t of books.replica.types)
+    if (t.gpus <= 0 && typeAllowed(spec, t)) reach = Math.min(reach, t.bootS + fetchS(spec, t));
+  return slackS(limits, (books.clock.wall - job.at) / 1000, spec.estimateS) < reach;
+}
+
+/** Whether a gang may have a machine of this type emptied for it. */
+export const mayEmpty = (round: ShardRound, job: JobRun, type: MachineType): boolean =>
+  type.gpus <= 0 || job.spec.gpus > 0 || round.keep === null || mayCrowd(round, job);
+
+/** Whether a machine may take a job's tasks, as far as its place and the job's past there decide. */
+export const openTo = (job: JobRun, m: MachineRun): boolean =>
+  (job.anywhere || !job.errors.has(m.host)) &&
+  (job.spec.zone === null || job.spec.zone === m.zone) &&
+  gpuMachineOpen(job.spec, m.type, m.used.gpus);
+
+/** The policy's score of a kind of machine for a job, before tie-breaks between single machines. */
+function kindScore(
+  books: Books,
+  spec: JobSpec,
+): (type: MachineType, spot: boolean, image: boolean) => number {
+  const anchor = anchorPrice(spec, books.replica.types, () => true);
+  const hazard = books.hazard.perStep(books.operators['hazard-step-s']);
+  const w = weights(books.operators);
+  const work = { premium: isPremium(spec), cpus: spec.cpus };
+  return (type, spot, image) =>
+    // A leased machine is there already, also when it stands idle: only one to be rented is fresh.
+    score(work, candidate(type, spot, hazard, false, 0, image ? 0 : fetchS(spec, type)), anchor, w);
+}
+
+/** Machines of the job's shard that may take its tasks and have room for any waiting task, best first. */
+export const eligible = (
+  job: JobRun,
+  { books, openings }: ShardRound,
+  withImage = false,
+): Generator<MachineRun> =>
+  openings.best(job.spec, kindScore(books, job.spec), (m) => usable(books, m) && openTo(job, m), withImage);
--- /dev/null
+++ b/src/core/round/preemption.ts
@@ -0,0 +1,94 @@
+import { urgencyRank } from '../../model/job.js';
+import { fits, timesFits } from '../../model/machine.js';
+import { typeAllowed } from '../../policy/admission.js';
+import { limitsOf, slackS } from '../../policy/deadlines.js';
+import { spotAllowed } from '../../policy/guardrails.js';
+import { fetchS } from '../../policy/pricing.js';
+import { waitingCount } from '../books/jobs.js';
+import { roomOf } from '../books/machines.js';
+import type { JobRun, MachineRun, Placement } from '../books/runs.js';
+import { mayEmpty, openTo } from './fit.js';
+import { claim, type ShardRound } from './shard.js';
+import { demandsNow, loss, mayStop, type Plan } from './stopping.js';
+
+/** True while tasks on a machine are being stopped. */
+export const madeRoom = (m: MachineRun): boolean => [...m.placements.values()].some((p) => p.stop !== null);
+
+/** Of plans in order of loss: those of the zone where so many of them lose least together. */
+function cheapestZone(plans: Plan[], need: number): Plan[] {
+  let best: Plan[] = [];
+  let least = Infinity;
+  for (const zone of new Set(plans.map((p) => p.m.zone))) {
+    const here = plans.filter((p) => p.m.zone === zone).slice(0, need);
+    const lost = here.reduce((sum, p) => sum + p.lost, 0);
+    if (here.length === need && lost < least) {
+      least = lost;
+      best = here;
+    }
+  }
+  return best;
+}
+
+/**
+ * Makes room for a job that neither a free place nor a machine rented now would serve in time, by stopping
+ * the tasks that lose least. Machines where room is being made are kept for it. False: not looked for.
+ */
+export function preempt(job: JobRun, round: ShardRound): boolean {
+  const { spec } = job;
+  const { books } = round;
+  const entitled = round.entitled.has(job);
+  const lower = [...books.activeBy].some(([u, n]) => n > 0 && u < urgencyRank[spec.urgency]);
+  if (!entitled && !lower) return false;
+  const limits = limitsOf(spec, books.settings.objectives);
+  const ageS = (books.clock.wall - job.at) / 1000;
+  const slack = slackS(limits, ageS, spec.estimateS);
+  let need = waitingCount(job);
+  if (spec.shape !== 'gang') need = Math.min(need, 1);
+  if (timesFits(spec, books.teamRoom(spec.team)) < need) return false;
+  const kinds = books.replica.types.filter((t) => typeAllowed(spec, t));
+  const bootS = Math.min(...kinds.map((t) => t.bootS + fetchS(spec, t)));
+  const hurry = Number.isFinite(slack) ? slack : 2 * bootS - ageS;
+  if (!demandsNow(round, job) && hurry > bootS + 2 * books.settings.workers.report_s) return false;
+  let plans: Plan[] = [];
+  // For a whole machine much is stopped at once: what saves has to fetch and to queue again, so it counts like the rest.
+  const lossOf = (p: Placement): number => loss(books, p, Infinity);
+  const kept = round.claimed.get(job.id) ?? [];
+  for (const m of [...kept, ...round.all]) {
+    round.openings.looked++;
+    if (!typeAllowed(spec, m.type) || (m.spot && !spotAllowed(spec)) || !openTo(job, m)) continue;
+    if (!mayEmpty(round, job, m.type)) continue;
+    const room = roomOf(books, m);
+    const victims: Placement[] = [];
+    let lost = 0;
+    const all = [...m.placements.values()].filter((p) => p.stop !== null || mayStop(round, job, p, entitled));
+    all.sort((a, b) => lossOf(a) - lossOf(b));
+    for (const p of all) {
+      if (fits(spec, room)) break;
+      // A gang stops as a whole; that loses more than the room is worth.
+      if (p.stop === null && p.job.spec.shape === 'gang') continue;
+      room.cpus += p.job.spec.cpus;
+      room.gpus += p.job.spec.gpus;
+      room.memGb += p.job.spec.memGb;
+      victims.push(p);
+      lost += lossOf(p);
+    }
+    if (fits(spec, room)) plans.push({ m, victims, lost });
+  }
+  plans.sort((a, b) => a.lost - b.lost);
+  if (spec.oneZone && plans.length >= need) plans = cheapestZone(plans, need);
+  if (plans.length < need) return true;
+  const chosen = plans.slice(0, need);
+  // What is in the way of the zone is found out by the placement; here only the loss counts.
+  claim(
+    job,
+    round,
+    chosen.map((p) => p.m).filter((m) => !kept.includes(m)),
+  );
+  for (const plan of chosen)
+    for (const p of plan.victims)
+      if (p.stop === null) {
+        books.log('info', 'preempting', { job: p.job.id, index: p.index, host: p.host, for: job.id });
+        books.stop(p, p.job.spec.saveS);
+      }
+  return true;
+}
--- /dev/null
+++ b/src/core/round/round.ts
@@ -0,0 +1,96 @@
+import { urgencyRank } from '../../model/job.js';
+import { withinGuarantee } from '../../policy/admission.js';
+import { promptGuarantee } from '../../policy/deadlines.js';
+import { gpuShare } from '../../policy/gpus.js';
+import { inOrder, pressingS } from '../../policy/order.js';
+import { suspect } from '../blame.js';
+import type { Books } from '../books/books.js';
+import { waitingCount } from '../books/jobs.js';
+import type { JobRun } from '../books/runs.js';
+import { gangMayWait, placeGang, reserve } from './gangs.js';
+import { madeRoom, preempt } from './preemption.js';
+import { openShard, type Round, type ShardRound } from './shard.js';
+import { placeEach } from './singles.js';
+import { demandsNow } from './stopping.js';
+import { makeYield } from './yielding.js';
+
+/** Scans for tasks to preempt are dear: so many jobs get one in a round. */
+const mostPreemptions = 16;
+/** Scans of all machines for tasks of arrays that give way, in a round. */
+const mostYields = 4;
+
+/**
+ * One placement round over all shards of this node, in steps: it yields how many machines it has looked at
+ * since, so that reports and requests need not wait for all of it. Between two steps jobs and machines may
+ * change; each is looked at anew when its turn comes.
+ */
+export function* placeRound(books: Books): Generator<number, void> {
+  const entitled = withinGuarantee(books.jobs.values(), books.settings);
+  const waiting = inOrder(
+    [...books.jobs.values()].filter((j) => placeable(books, j)),
+    books.settings.objectives,
+    books.clock.wall,
+    pressingS(books.settings),
+    promptGuarantee(books.settings.objectives) ? entitled : new Set(),
+  );
+  // Guards against a job with a mistake that has room kept for as long as it is tried.
+  const keep = gpuShare(waiting.filter((j) => !suspect(j)));
+  const least = { cpus: Infinity, gpus: 0, memGb: Infinity };
+  for (const { spec } of waiting) {
+    least.cpus = Math.min(least.cpus, spec.cpus);
+    least.memGb = Math.min(least.memGb, spec.memGb);
+  }
+  const whole: Round = { books, entitled, keep, least };
+  const shards = new Map<number, ShardRound>();
+  const roundOf = (shard: number): ShardRound => {
+    let round = shards.get(shard);
+    if (!round) shards.set(shard, (round = openShard(whole, shard)));
+    return round;
+  };
+  let preemptions = 0;
+  let yielding = 0;
+  books.claims.prune(books.jobs, books.machines);
+  // Work of one level is of like urgency, and either all within its teams' guarantees or none.
+  const levelOf = (job: JobRun): number => urgencyRank[job.spec.urgency] + (demandsNow(whole, job) ? 10 : 0);
+  let level = Infinity;
+  for (const job of waiting) {
+    if (levelOf(job) < level) {
+      level = levelOf(job);
+      // Among work of like urgency, a GPU machine that has an image takes first what needs it: a fetch can take
+      // longer than the task, and the GPU stands still meanwhile.
+      for (const other of waiting) {
+        const { spec } = other;
+        if (levelOf(other) !== level || spec.gpus <= 0 || spec.shape !== 'array') continue;
+        if (!placeable(books, other) || books.jobs.get(other.id) !== other) continue;
+        const round = roundOf(other.shard);
+        placeEach(other, round, true);
+        yield round.openings.looked;
+        round.openings.looked = 0;
+      }
+    }
+    if (!placeable(books, job) || books.jobs.get(job.id) !== job) continue;
+    const round = roundOf(job.shard);
+    const { openings } = round;
+    const count = waitingCount(job);
+    const hopeless = !round.claimed.has(job.id) && openings.hopeless(job.spec, count);
+    if (job.spec.shape === 'gang') {
+      if (!hopeless && placeGang(job, round)) {
+        yield openings.looked;
+        openings.looked = 0;
+        continue;
+      }
+      if (gangMayWait(books, job) && !suspect(job)) reserve(job, round);
+    } else if (!hopeless) placeEach(job, round);
+    // Guards against a job that has failed everywhere being tried nowhere any more.
+    job.anywhere = suspect(job) && job.active.size === 0;
+    if (waitingCount(job) > 0 && job.active.size === 0 && preemptions < mostPreemptions && !suspect(job))
+      if (!round.claimed.get(job.id)?.some((m) => madeRoom(m)) && preempt(job, round)) preemptions++;
+    if (job.spec.shape === 'array' && waitingCount(job) > 0 && yielding < mostYields && !suspect(job))
+      if (makeYield(job, round)) yielding++;
+    yield openings.looked;
+    openings.looked = 0;
+  }
+}
+
+const placeable = (books: Books, j: JobRun): boolean =>
+  !j.cancelled && !j.finishing && !j.breaking && j.notBefore <= books.clock.now && waitingCount(j) > 0;
--- /dev/null
+++ b/src/core/round/shard.ts
@@ -0,0 +1,87 @@
+import type { JobSpec } from '../../model/job.js';
+import type { Fits, MachineType } from '../../model/machine.js';
+import type { GpuShare } from '../../policy/gpus.js';
+import type { Books } from '../books/books.js';
+import { roomOf, usable } from '../books/machines.js';
+import { Openings } from '../openings.js';
+import type { JobRun, MachineRun } from '../books/runs.js';
+
+/** What holds for a whole round. */
+export interface Round {
+  books: Books;
+  /** Jobs within their team's guarantee. */
+  entitled: ReadonlySet<JobRun>;
+  /** What waiting GPU work needs beside each GPU. */
+  keep: GpuShare | null;
+  /** The least that any waiting task takes. */
+  least: Fits;
+}
+
+/** What a round keeps for each shard. */
+export interface ShardRound extends Round {
+  openings: Openings<MachineRun>;
+  /** All machines that may be used and are not kept for anybody, also full ones, those that run empty soonest first. */
+  all: MachineRun[];
+  /** Machines kept for a job that waits. */
+  claimed: Map<string, MachineRun[]>;
+  /** Types of the machines that may be used. */
+  types: Set<MachineType>;
+  /** Room being made that a job of this round is counting on, by host. */
+  promised: Map<string, Fits>;
+}
+
+export function openShard(round: Round, shard: number): ShardRound {
+  const { books, least } = round;
+  const all: MachineRun[] = [];
+  const claimed = new Map<string, MachineRun[]>();
+  const types = new Set<MachineType>();
+  for (const m of books.machines.values()) {
+    if (m.record.shard !== shard || !usable(books, m)) continue;
+    types.add(m.type);
+    const claim = books.claims.held.get(m.host);
+    if (!claim) all.push(m);
+    else {
+      const mine = claimed.get(claim.job);
+      if (mine) mine.push(m);
+      else claimed.set(claim.job, [m]);
+    }
+  }
+  const openings = new Openings(all, (m) => roomOf(books, m), least);
+  const freeAt = new Map(all.map((m) => [m, freeInS(books, m)]));
+  all.sort((a, b) => freeAt.get(a)! - freeAt.get(b)!);
+  return { ...round, openings, all, claimed, types, promised: new Map() };
+}
+
+/** In how long a machine will have run empty, by its tasks' estimates, s. */
+function freeInS(books: Books, m: MachineRun): number {
+  let longest = 0;
+  for (const p of m.placements.values()) {
+    const ran = p.ranAt > 0 ? (books.clock.now - p.ranAt) / 1000 : 0;
+    const left = p.job.spec.shape === 'service' ? Infinity : p.job.spec.estimateS - ran;
+    longest = Math.max(longest, left, 1);
+  }
+  return longest;
+}
+
+export function claim(job: JobRun, round: ShardRound, machines: MachineRun[]): void {
+  const mine = new Set<string>();
+  for (const m of machines) {
+    mine.add(m.host);
+    round.books.claims.keep(m.host, job.id);
+  }
+  round.openings.remove(mine);
+  round.all = round.all.filter((m) => !mine.has(m.host));
+  round.claimed.set(job.id, [...(round.claimed.get(job.id) ?? []), ...machines]);
+}
+
+export function add(room: Fits, what: Fits, n: number): void {
+  room.cpus += n * what.cpus;
+  room.gpus += n * what.gpus;
+  room.memGb += n * what.memGb;
+}
+
+export function promise(round: ShardRound, m: MachineRun, spec: JobSpec, n: number): void {
+  const promised = round.promised.get(m.host) ?? { cpus: 0, gpus: 0, memGb: 0 };
+  add(promised, spec, n);
+  round.promised.set(m.host, promised);
+}
--- /dev/null
+++ b/src/core/round/singles.ts
@@ -0,0 +1,37 @@
+import { timesFits } from '../../model/machine.js';
+import { keptRoom } from '../../policy/gpus.js';
+import { zoneOpen } from '../../policy/guardrails.js';
+import { suspect } from '../blame.js';
+import { nextWaiting, waitingCount } from '../books/jobs.js';
+import { roomOf } from '../books/machines.js';
+import type { JobRun } from '../books/runs.js';
+import { candidates, eligible, mayCrowd } from './fit.js';
+import type { ShardRound } from './shard.js';
+
+export function placeEach(job: JobRun, round: ShardRound, withImage = false): void {
+  const { spec } = job;
+  const { books, openings } = round;
+  let left = Math.min(waitingCount(job), timesFits(spec, books.teamRoom(spec.team)));
+  // A job that only ever failed is tried one task at a time.
+  if (suspect(job)) left = Math.min(left, job.active.size === 0 ? 1 : 0);
+  if (left <= 0) return;
+  const at: { index: number; host: string }[] = [];
+  const taken = new Map(job.zones);
+  const crowd = mayCrowd(round, job);
+  const machines = withImage ? eligible(job, round, true) : candidates(job, round);
+  for (const m of machines) {
+    let n = Math.min(left - at.length, timesFits(spec, keptRoom(spec, roomOf(books, m), round.keep, crowd)));
+    for (; n > 0 && zoneOpen(spec, m.zone, taken); n--) {
+      const index = nextWaiting(job);
+      if (index < 0) break;
+      at.push({ index, host: m.host });
+      taken.set(m.zone, (taken.get(m.zone) ?? 0) + 1);
+    }
+    if (at.length >= left) break;
+  }
+  if (at.length > 0) books.place(job, at);
+  openings.changed(new Set(at.map((a) => a.host)));
+  if (waitingCount(job) === 0) books.claims.end(job.id);
+  if (withImage) return;
+  if (at.length < left && job.errors.size === 0 && !round.claimed.has(job.id)) openings.failed(spec);
+}
--- /dev/null
+++ b/src/core/summary.ts
@@ -0,0 +1,73 @@
+import { timesFits } from '../model/machine.js';
+import { suspect } from './blame.js';
+import type { Books } from './books/books.js';
+import { waitingCount } from './books/jobs.js';
+import type { JobRun } from './books/runs.js';
+
+/** Of a class, in the log: its tasks by state, and what the waiting ones wait for. */
+interface ClassSummary {
+  jobs: number;
+  waiting: number;
+  placed: number;
+  fetching: number;
+  running: number;
+  because: Record<string, number>;
+}
+
+/** For operators: how the fleet is used and what waits. `looked`: machines that placement has looked at. */
+export function summarize(books: Books, looked: number): void {
+  const fleet: Record<string, { up: number; coming: number; idle: number; cpus: number; gpus: number }> = {};
+  for (const m of books.machines.values()) {
+    const f = (fleet[`${m.type.name}${m.spot ? ' spot' : ''}`] ??= {
+      up: 0,
+      coming: 0,
+      idle: 0,
+      cpus: 0,
+      gpus: 0,
+    });
+    if (m.provenAt === 0) f.coming++;
+    else f.up++;
+    if (m.provenAt > 0 && m.placements.size === 0) f.idle++;
+    f.cpus += m.used.cpus / m.type.cpus;
+    if (m.type.gpus > 0) f.gpus += m.used.gpus / m.type.gpus;
+  }
+  for (const f of Object.values(fleet)) {
+    f.cpus = Math.round((100 * f.cpus) / (f.up + f.coming)) / 100;
+    f.gpus = Math.round((100 * f.gpus) / (f.up + f.coming)) / 100;
+  }
+  const jobs: Record<string, ClassSummary> = {};
+  for (const j of books.jobs.values()) {
+    const c = (jobs[j.spec.class] ??= {
+      jobs: 0,
+      waiting: 0,
+      placed: 0,
+      fetching: 0,
+      running: 0,
+      because: {},
+    });
+    c.jobs++;
+    const waiting = waitingCount(j);
+    c.waiting += waiting;
+    if (waiting > 0) {
+      const why = waitsFor(books, j);
+      c.because[why] = (c.because[why] ?? 0) + waiting;
+    }
+    for (const p of j.active.values()) {
+      if (p.phase === 'running') c.running++;
+      else if (p.phase === 'placed') c.placed++;
+      else c.fetching++;
+    }
+  }
+  books.log('info', 'summary', { fleet, jobs, looked });
+}
+
+/** What a job's waiting tasks wait for, in an operator's words. */
+function waitsFor(books: Books, job: JobRun): string {
+  if (job.cancelled) return 'cancelled';
+  if (job.finishing) return 'its end being recorded';
+  if (job.breaking) return 'its attempt being taken down';
+  if (job.notBefore > books.clock.now) return suspect(job) ? 'fails everywhere' : 'pause';
+  const all = job.spec.shape === 'gang' ? waitingCount(job) : 1;
+  if (timesFits(job.spec, books.teamRoom(job.spec.team)) < all) return 'team limit';
+  return 'machine';
+}
--- /dev/null
+++ b/src/lanes/index.ts
@@ -0,0 +1,1 @@
+export { Lanes, type Lane } from './lanes.js';
--- a/test/policy.test.ts
+++ b/test/policy.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { gpuMachineOpen } from '../src/core/placement.js';
+import { gpuMachineOpen } from '../src/policy/gpus.js';
 import { parseOperators } from '../src/config/operators.js';
 import { parseSettings } from '../src/config/settings.js';
 import { withinGuarantee } from '../src/policy/admission.js';
