--- a/src/cloud/cloud.ts
+++ b/src/cloud/cloud.ts
@@ -10,24 +10,27 @@
 } from '../wire/cloud.js';
 import type { MachineType } from '../model/machine.js';
 
-const timeoutMs = 5000;
 const pageItems = 500;
 
 /** The cloud as the core sees it. Its rate is kept by the core. */
 export class Cloud {
   private readonly client: HttpClient;
 
-  constructor(addr: string) {
+  constructor(
+    addr: string,
+    /** How long an answer is waited for. */
+    private readonly timeoutMs: number,
+  ) {
     this.client = new HttpClient(addr, 4);
   }
 
   async types(): Promise<MachineType[] | null> {
-    const r = await this.client.call('GET', '/machine_types', null, timeoutMs);
+    const r = await this.client.call('GET', '/machine_types', null, this.timeoutMs);
     return r?.status === 200 ? parseTypes(r.body) : null;
   }
 
   async rent(request: RentRequest): Promise<{ hosts: string[] } | 'none' | 'refused' | 'unknown'> {
-    const r = await this.client.call('POST', '/rentals', rentOut(request), timeoutMs);
+    const r = await this.client.call('POST', '/rentals', rentOut(request), this.timeoutMs);
     if (r === null) return 'unknown';
     if (r.status === 200) {
       const hosts = parseRented(r.body);
@@ -39,7 +42,7 @@
   }
 
   async delete(hosts: string[]): Promise<boolean> {
-    const r = await this.client.call('POST', '/rentals/delete', deleteOut(hosts), timeoutMs);
+    const r = await this.client.call('POST', '/rentals/delete', deleteOut(hosts), this.timeoutMs);
     return r?.status === 200;
   }
 
@@ -47,7 +50,7 @@
     const all: ListedMachine[] = [];
     for (let from = ''; ;) {
       const path = `/rentals?${from === '' ? '' : `from=${from}&`}limit=${pageItems}`;
-      const r = await this.client.call('GET', path, null, timeoutMs);
+      const r = await this.client.call('GET', path, null, this.timeoutMs);
       const page = r?.status === 200 ? parseList(r.body) : null;
       if (!page) return null;
       all.push(...page.machines);
--- a/src/config/operators.ts
+++ b/src/config/operators.ts
@@ -31,6 +31,8 @@
   'grant-s': 30,
   /** A node's state lease, as a share of the workers' lease. */
   'node-lease-ratio': 0.2,
+  /** After taking up a shard, all of its machines should be proven within so many worker leases. */
+  'recovery-leases': 0.75,
   /** An idle machine is kept for this many times what it would take to replace: boot and its largest image. */
   'idle-boots': 0.6,
   /** Shards; 0: one per controller. */
--- a/src/core/books/books.ts
+++ b/src/core/books/books.ts
@@ -10,7 +10,8 @@
 import type { JobRecord, Placed } from '../records.js';
 import type { Machine, Replica } from '../replica.js';
 import { Claims } from './claims.js';
-import { chunkOf, isDone, newJob, remains } from './jobs.js';
+import { chunkOf, isDone, newJob, remains, waitingCount } from './jobs.js';
+import { mendable } from './mending.js';
 import { newMachine } from './machines.js';
 import type { Chunk, JobRun, MachineRun, Placement } from './runs.js';
 import { Writer } from './writer.js';
@@ -34,6 +35,8 @@
   readonly claims: Claims;
   readonly hazard: HazardEstimate;
   readonly writer: Writer;
+  /** Placements decided so far. */
+  placed = 0;
   private readonly chunkTasks: number;
 
   constructor(
@@ -153,7 +156,7 @@
       return;
     }
     // Its record is dropped only after the cloud has confirmed the deletion: all that was on it is gone.
-    if (m && !now) for (const p of [...m.placements.values()]) this.gone(p, 'machine returned');
+    if (m && !now) for (const p of [...m.placements.values()]) this.gone(p, 'machine returned', 'lost');
     this.machines.delete(host);
   }
 
@@ -171,6 +174,7 @@
       sent: null,
       phase: 'placed',
       ranAt: 0,
+      waitingAt: 0,
       placedAt: this.clock.now,
       stop: null,
     };
@@ -206,6 +210,7 @@
 
   /** Places tasks of one job together; they start once all of it is durable. */
   place(job: JobRun, at: { index: number; host: string }[], attempt?: number): void {
+    this.placed += at.length;
     const chunks = new Set(at.map((a) => chunkOf(job, a.index)));
     for (const c of chunks) c.placed = ++c.version;
     for (const a of at) {
@@ -221,10 +226,14 @@
       if (m) m.images.set(job.spec.image, fetchS(job.spec, m.type));
     }
     for (const c of chunks) this.writer.queue(job, c);
+    if (waitingCount(job) === 0) job.mending = null;
   }
 
-  /** The attempt is proven gone (or over): it counts no more, and its record is to be removed. */
-  gone(p: Placement, why: string, outcome: 'done' | 'again' = 'again'): void {
+  /**
+   * The attempt is proven gone (or over): it counts no more, and its record is to be removed. `lost`: it did not end, it
+   * went with its machine.
+   */
+  gone(p: Placement, why: string, outcome: 'done' | 'again' | 'lost' = 'again'): void {
     const { job, chunk } = p;
     if (job.active.get(p.index) !== p) return;
     job.active.delete(p.index);
@@ -250,21 +259,33 @@
       // Guards against handing a task out twice in one round: ahead of `fresh` it is found there, and after a
       // takeover `fresh` starts anew.
       if (p.index < job.fresh) job.retry.add(p.index);
-      if (job.spec.shape === 'gang') this.checkGang(job, p);
+      if (job.spec.shape === 'gang') this.checkGang(job, p, outcome === 'lost');
     }
     this.checkCancelled(job);
   }
 
-  /** A gang that lost a task cannot go on with this attempt: it is taken down, then placed again whole. */
-  private checkGang(job: JobRun, lost?: Placement): void {
+  /**
+   * A gang that lost a task while all of it still waited gets another with the same attempt. Any other cannot go on with
+   * this attempt: it is taken down, then placed again whole.
+   */
+  private checkGang(job: JobRun, lost?: Placement, withMachine = false): void {
     const missing = job.spec.tasks - job.done - job.active.size;
     if (missing > 0 && job.active.size > 0) {
+      if (lost && withMachine && mendable(job, lost, this.clock.now, this.settings.workers)) {
+        if (job.mending === null) this.log('info', 'gang mended', { job: job.id, lost: lost.index });
+        job.mending = lost.attempt;
+        return;
+      }
+      job.mending = null;
       if (!job.breaking) this.log('info', 'gang broken', { job: job.id, lost: lost?.index });
       job.breaking = true;
       for (const p of job.active.values()) this.stop(p, 0);
       for (const p of [...job.active.values()]) if (p.own && p.sent === null) this.gone(p, 'gang broken');
     }
-    if (job.active.size === 0) job.breaking = false;
+    if (job.active.size === 0) {
+      job.breaking = false;
+      job.mending = null;
+    }
   }
 
   private checkCancelled(job: JobRun): void {
@@ -278,6 +299,7 @@
   /** Stops a whole gang in order: every task gets time to save, all at about the same time. */
   stopGang(job: JobRun): void {
     job.breaking = true;
+    job.mending = null;
     for (const p of job.active.values()) this.stop(p, job.spec.saveS);
   }
 
--- a/src/core/books/jobs.ts
+++ b/src/core/books/jobs.ts
@@ -27,6 +27,7 @@
     zones: new Map(),
     finishing: false,
     breaking: false,
+    mending: null,
     errors: new Set(stored?.get(0)?.failed),
     probes: 0,
     anywhere: false,
--- a/src/core/books/runs.ts
+++ b/src/core/books/runs.ts
@@ -21,6 +21,8 @@
   phase: TaskPhase | 'placed';
   /** When it was first seen to run, ms; 0: not yet. */
   ranAt: number;
+  /** Gang: when it was first seen to wait for the others, ms; 0: not yet. */
+  waitingAt: number;
   placedAt: number;
   /** Wanted off its machine, with this much time to save. */
   stop: { graceS: number; since: number } | null;
@@ -63,6 +65,8 @@
   finishing: boolean;
   /** Gang: an attempt is being taken down; nothing starts until all of it is gone. */
   breaking: boolean;
+  /** Gang: tasks that were lost before it started are placed anew with this attempt, which the others wait with. */
+  mending: number | null;
   /** Machines on which its tasks failed. */
   errors: Set<string>;
   /** How often it was tried in vain since it is suspected of a mistake. */
--- a/src/core/checkins.ts
+++ b/src/core/checkins.ts
@@ -94,6 +94,7 @@
       p.phase = t.phase;
       m.images.set(p.job.spec.image, fetchS(p.job.spec, m.type));
       if (t.phase === 'running' && p.ranAt === 0) p.ranAt = now;
+      if (t.phase === 'waiting' && p.waitingAt === 0) p.waitingAt = now;
       return;
     }
     const { job } = p;
@@ -123,7 +124,7 @@
       if (m.noticeAt > 0 || m.condemned) this.books.gone(p, 'machine not to be used');
       return;
     }
-    this.books.gone(p, 'vanished');
+    this.books.gone(p, 'vanished', 'lost');
   }
 
   private onNotice(m: MachineRun, noticeS: number): void {
--- a/src/core/committer.ts
+++ b/src/core/committer.ts
@@ -1,5 +1,6 @@
 import type { Condition, Txn, Write } from '../wire/store.js';
 import { txnOut } from '../wire/store.js';
+import { Attempts, pauseMs, type Random, type RetryPolicy } from '../retry/index.js';
 import type { CommitOutcome, Effect, Log } from './effects.js';
 import type { Replica } from './replica.js';
 
@@ -39,12 +40,12 @@
   nodes: number;
 }
 
-const firstBackoffMs = 150;
-const longestBackoffMs = 1000;
 /** How the share of the common budget that a controller takes rises while it is short, and falls when refused. */
 const rise = 0.02;
 const fall = 0.7;
 const largestShare = 0.9;
+/** What the ranks get of the budget while all of them wait; what one does not use goes to the others, by rank. */
+const rankShares: Record<Rank, number> = { 0: 20, 1: 12, 2: 4, 3: 3, 4: 1 };
 
 /**
  * Groups intents into transactions, one in flight at a time. When no answer comes, the same transaction is
@@ -58,7 +59,7 @@
   private waitFor: { epoch: number; failed: string[] } | null = null;
   private sent = true;
   private resendAt = 0;
-  private backoffMs = 0;
+  private readonly attempts: Attempts;
   private tokens: number;
   /** Writes per second that this controller allows itself now; found by trying. */
   private rate: number;
@@ -66,13 +67,18 @@
   private count = 0;
   private lastAt = -Infinity;
   private bulkOff = false;
+  /** What each rank has coming from transactions in which it got less than its share. */
+  private readonly credit: number[] = this.queues.map(() => 0);
 
   constructor(
     private readonly run: string,
     private readonly limits: CommitLimits,
     private readonly replica: Replica,
+    private readonly retry: RetryPolicy,
+    private readonly random: Random,
     private readonly log: Log,
   ) {
+    this.attempts = new Attempts(retry, random);
     // Not knowing what the others need, each begins with more than an equal share.
     this.rate = limits.nodes > 1 ? limits.writesPerS / 2 : limits.writesPerS * largestShare;
     this.tokens = this.rate;
@@ -114,11 +120,12 @@
     let left = 0;
     const full = (): boolean =>
       apply.length >= most || left >= this.limits.ops || (this.bulkOff && built.length > 0);
-    for (let rank = 0; rank < this.queues.length && !full(); rank++) {
+    const take = (rank: Rank, allowed: number): void => {
       const queue = this.queues[rank];
       const rest: Intent[] = [];
+      const before = apply.length;
       let i = 0;
-      for (; i < queue.length && !full(); i++) {
+      for (; i < queue.length && apply.length - before < allowed && !full(); i++) {
         const intent = queue[i];
         const txn = intent.build();
         if (txn === null) continue;
@@ -146,7 +153,12 @@
       }
       // Builds may have added to the queue meanwhile: only what was looked at is replaced.
       queue.splice(0, i, ...rest);
-    }
+      this.credit[rank] -= apply.length - before;
+    };
+    // Guards against a flood of one kind, of submissions or of ends, that starves the others.
+    const turns = this.turns(most);
+    for (const { rank, allowed } of turns) take(rank, allowed);
+    for (const { rank } of turns) if (!full()) take(rank, Infinity);
     if (built.length === 0) return;
     const mark = `${this.run}.${++this.count}`;
     for (const w of apply) if (w.data !== undefined) w.data = { ...w.data, w: mark };
@@ -155,6 +167,20 @@
     this.send(now, out);
   }
 
+  /** The ranks that wait, and what each may take before the others had their turn. */
+  private turns(most: number): { rank: Rank; allowed: number }[] {
+    const waiting = this.queues.flatMap((q, rank) => (q.length > 0 ? [rank as Rank] : []));
+    const all = waiting.reduce((sum, rank) => sum + rankShares[rank], 0);
+    this.queues.forEach((q, rank) => {
+      if (q.length === 0) this.credit[rank] = 0;
+    });
+    return waiting.map((rank) => {
+      const earned = Math.max(0, this.credit[rank]) + (most * rankShares[rank]) / all;
+      this.credit[rank] = Math.min(most, earned);
+      return { rank, allowed: Math.floor(this.credit[rank]) };
+    });
+  }
+
   private send(now: number, out: Effect[]): void {
     this.sent = true;
     this.lastAt = now;
@@ -165,7 +191,7 @@
   outcome(o: CommitOutcome, now: number, out: Effect[]): void {
     const flight = this.flight;
     if (!flight) return;
-    if (o.r !== 'refused' && o.r !== 'unknown' && o.r !== 'busy') this.backoffMs = 0;
+    if (o.r !== 'refused' && o.r !== 'unknown' && o.r !== 'busy') this.attempts.ok();
     switch (o.r) {
       case 'ok':
         this.flight = null;
@@ -198,7 +224,7 @@
       case 'busy':
         this.rate = Math.max((this.limits.writesPerS / this.limits.nodes) * fall, this.rate * fall);
         this.tokens = Math.min(this.tokens, 0);
-        this.resendAt = now + firstBackoffMs;
+        this.resendAt = now + pauseMs(this.retry, 1, this.random);
         if (flight.unsure) this.sent = false;
         else {
           this.flight = null;
@@ -239,8 +265,8 @@
   }
 
   private back(now: number): void {
-    this.backoffMs = Math.min(longestBackoffMs, Math.max(firstBackoffMs, this.backoffMs * 2));
-    this.resendAt = now + this.backoffMs;
+    this.attempts.fail(now);
+    this.resendAt = this.attempts.notBefore;
   }
 
   /** After a lost answer and a conflict: the marks tell which intents an earlier sending carried out. */
--- a/src/core/desk.ts
+++ b/src/core/desk.ts
@@ -21,7 +21,6 @@
 /** Answers that the users' time limits (2 s for a poll, 5 s for the others) leave no room to wait longer for. */
 const giveUpMs = 1500;
 const giveUpWriteMs = 4000;
-const mostWaiting = 2000;
 
 /**
  * The users' requests. Final states are answered from memory. Any other answer is given only after the
@@ -39,6 +38,8 @@
     private readonly replica: Replica,
     private readonly committer: Committer,
     private readonly clock: Clock,
+    /** How many requests may wait. */
+    private readonly mostWaiting: number,
   ) {}
 
   submit(rid: number, spec: JobSpec, out: Effect[]): void {
@@ -52,7 +53,7 @@
       pending.rids.push(rid);
       return;
     }
-    if (this.submits.size >= mostWaiting) return this.later(rid, out);
+    if (this.submits.size >= this.mostWaiting) return this.later(rid, out);
     const mine = { rids: [rid], since: this.clock.now };
     this.submits.set(spec.id, mine);
     const answer = (f: (rid: number) => void) => {
@@ -151,27 +152,36 @@
   }
 
   private wait(rid: number, id: string, then: Waiter['then'], out: Effect[]): void {
-    if (this.waiters.length >= mostWaiting) return this.later(rid, out);
+    if (this.waiters.length >= this.mostWaiting) return this.later(rid, out);
     this.waiters.push({ rid, id, since: this.clock.now, epoch: null, then });
   }
 
-  /** A reading of the state's revision that was asked for at `sentAt`. */
-  epochRead(sentAt: number, epoch: number | null, out: Effect[]): void {
+  /**
+   * A reading of the state's revision that was asked for at `sentAt`. Without an answer, users are told to come later; while
+   * the other controllers vouch for the view, those who ask about a known job wait for that.
+   */
+  epochRead(sentAt: number, epoch: number | null, out: Effect[], vouched: boolean): void {
     this.reading = false;
     for (const w of this.waiters) if (w.epoch === null && w.since <= sentAt) w.epoch = epoch ?? -1;
     if (epoch === null) {
-      for (const w of this.waiters) if (w.epoch === -1) this.later(w.rid, out);
+      for (const w of this.waiters)
+        if (w.epoch === -1) {
+          if (vouched && w.then === 'status' && this.replica.jobs.has(w.id)) w.epoch = Infinity;
+          else this.later(w.rid, out);
+        }
       this.waiters = this.waiters.filter((w) => w.epoch !== -1);
     }
   }
 
-  pump(out: Effect[]): void {
+  /** `vouchedAt`: the view holds all ends of jobs that anybody had been told of by then. */
+  pump(out: Effect[], vouchedAt: number): void {
     const now = this.clock.now;
     if (this.waiters.length > 0) {
       const left: Waiter[] = [];
       const ready: Waiter[] = [];
       for (const w of this.waiters) {
-        if (w.epoch !== null && this.replica.epoch >= w.epoch) ready.push(w);
+        const vouched = w.then === 'status' && w.since <= vouchedAt && this.replica.jobs.has(w.id);
+        if (vouched || (w.epoch !== null && this.replica.epoch >= w.epoch)) ready.push(w);
         else if (now - w.since > giveUpMs) this.later(w.rid, out);
         else left.push(w);
       }
--- a/src/core/dispatcher.ts
+++ b/src/core/dispatcher.ts
@@ -31,6 +31,10 @@
   private movedAt = -Infinity;
   private lastSweep = -1;
   private summedAt = 0;
+  /** When a shard was last taken up, ms. */
+  tookUpAt = -Infinity;
+  /** Machines that held tasks when their shard was taken up and have not been proven yet. */
+  private readonly toProve = new Set<MachineRun>();
 
   constructor(
     private readonly settings: Settings,
@@ -72,6 +76,8 @@
       // The view must include all that earlier owners wrote, so it has to have reached the grant.
       if (!books.owned.has(shard) && this.isMine(shard) && this.replica.epoch >= grant.stamp) {
         books.open(shard);
+        this.tookUpAt = this.clock.now;
+        for (const m of books.machines.values()) if (m.placements.size > 0) this.toProve.add(m);
         this.log('info', 'shard taken up', {
           shard,
           grant: grant.stamp,
@@ -81,6 +87,13 @@
       }
   }
 
+  get unproven(): number {
+    for (const m of this.toProve)
+      if (m.provenAt > 0 || m.placements.size === 0 || this.machines.get(m.host) !== m)
+        this.toProve.delete(m);
+    return this.toProve.size;
+  }
+
   private isMine(shard: number): boolean {
     const g = this.replica.shards.get(shard);
     return g?.owner === this.settings.member && g.run === this.run;
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -4,6 +4,17 @@
 import type { ListedMachine, RentRequest } from '../wire/cloud.js';
 import type { Change, Txn } from '../wire/store.js';
 
+/** What a controller tells the others of itself. */
+export interface Pulse {
+  /** The newest revision that it knows of. */
+  epoch: number;
+  run: string;
+  /** How busy it is, in thousandths of what it has. */
+  busy: number;
+  /** Its workers may stay at whoever they reach: their reports are to be relayed. */
+  front: boolean;
+}
+
 /** What the adapters bring to the core. `rid` names a request that waits for its answer. */
 export type Command =
   | { c: 'tick' }
@@ -11,11 +22,18 @@
   | { c: 'query'; rid: number; id: string }
   | { c: 'withdraw'; rid: number; id: string }
   | { c: 'checkin'; rid: number; report: Report; from?: string }
-  | { c: 'relayed'; rid: number; status: number; body: object }
-  | { c: 'pulse'; epoch: number }
+  | { c: 'relayed'; rid: number; status: number; body: object | string }
+  | { c: 'pulse'; from: string; pulse: Pulse }
+  /** What a peer wants to know, and what another has answered us; null: it cannot tell. */
+  | { c: 'asked'; from: string; nonce: number; epoch: number }
+  | { c: 'vouched'; from: string; run: string; nonce: number; known: Change[] | null }
+  /** What the process has been doing lately: share of its time, connections that are open. */
+  | { c: 'load'; busy: number; connections: number }
   /** A peer's connection broke and a new one was refused at once. */
   | { c: 'peer-lost'; member: string }
   | { c: 'ordered'; host: string; report: Report | null }
+  /** So many keys of the first reading are here. */
+  | { c: 'reading'; keys: number }
   | { c: 'loaded'; items: Change[]; epoch: number }
   | { c: 'changes'; changes: Change[]; epoch: number }
   | { c: 'committed'; outcome: CommitOutcome }
@@ -42,13 +60,16 @@
 
 /** What the core wants done. */
 export type Effect =
-  | { e: 'answer'; rid: number; status: number; body: object; retryAfterS?: number }
+  /** A body that is text already goes out as it is. */
+  | { e: 'answer'; rid: number; status: number; body: object | string; retryAfterS?: number }
   | { e: 'commit'; txn: Txn }
   | { e: 'epoch' }
   | { e: 'catch-up'; epoch: number }
   /** Hand a worker's report to the controller that owns its machine; its answer comes as 'relayed'. */
   | { e: 'relay'; to: string; rid: number; report: Report }
-  | { e: 'pulse'; epoch: number }
+  | { e: 'pulse'; pulse: Pulse }
+  | { e: 'ask'; nonce: number; epoch: number }
+  | { e: 'vouch'; to: string; nonce: number; known: Change[] }
   | { e: 'lease'; ttlMs: number }
   | { e: 'renew'; hold: number }
   | { e: 'unlease'; hold: number }
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -5,6 +5,7 @@
 import type { Report } from '../model/report.js';
 import { typeAllowed } from '../policy/admission.js';
 import { score } from '../policy/helios.js';
+import { Attempts, type Random, type RetryPolicy } from '../retry/index.js';
 import type { ListedMachine, RentRequest } from '../wire/cloud.js';
 import type { Write } from '../wire/store.js';
 import { Rank, type Committer } from './committer.js';
@@ -44,6 +45,7 @@
   private count = 0;
   private budget = 0;
   private budgetAt = -1;
+  private readonly calls: Attempts;
   /** Slots that were refused: when last, and how often in a row. */
   private readonly refused = new Map<string, { at: number; times: number }>();
   /** Requests whose machines are not recorded yet, and how many those are, as far as known. */
@@ -62,8 +64,12 @@
     private readonly replica: Replica,
     private readonly committer: Committer,
     private readonly clock: Clock,
+    retry: RetryPolicy,
+    random: Random,
     private readonly log: Log,
-  ) {}
+  ) {
+    this.calls = new Attempts(retry, random);
+  }
 
   /** Forgets what only mattered while this node led. */
   reset(): void {
@@ -112,8 +118,9 @@
     return this.replica.types.length === 0 ? 500 : this.settings.workers.lease_s * 2000;
   }
 
+  /** A call may go out now: within the budget, and one at a time while the cloud does not answer. */
   private spend(): boolean {
-    if (this.budget < 1) return false;
+    if (this.budget < 1 || !this.calls.take(this.clock.now)) return false;
     this.budget--;
     return true;
   }
@@ -122,6 +129,7 @@
 
   gotTypes(types: MachineType[] | null): void {
     this.askingTypes = false;
+    this.answered(types !== null);
     if (!types || types.length === 0) return;
     const drift = (a: number, b: number) => Math.abs(a - b) > 0.01 * Math.max(a, b);
     const same =
@@ -139,7 +147,13 @@
     this.change(typesKey, () => [{ key: typesKey, data: typesData(types) }]);
   }
 
+  private answered(ok: boolean): void {
+    if (ok) this.calls.ok();
+    else this.calls.fail(this.clock.now);
+  }
+
   rented(request: RentRequest, outcome: { hosts: string[] } | 'none' | 'refused' | 'unknown'): void {
+    this.answered(typeof outcome === 'object' || outcome === 'none');
     const asked = this.renting.get(request.name);
     const slot = slotName(request.type, request.zone, request.spot);
     const now = this.clock.now;
@@ -192,6 +206,7 @@
   }
 
   deleted(hosts: string[], ok: boolean): void {
+    this.answered(ok);
     const blocks = new Map<string, string[]>();
     for (const host of hosts) {
       this.deleting.delete(host);
@@ -228,6 +243,7 @@
 
   listed(machines: ListedMachine[] | null, askedAt: number): void {
     this.listing = false;
+    this.answered(machines !== null);
     if (!machines) return;
     const now = this.clock.now;
     const present = new Set<string>();
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -1,5 +1,6 @@
 import type { Operators } from '../config/operators.js';
 import type { Settings } from '../config/settings.js';
+import { Attempts, type Random, type RetryPolicy } from '../retry/index.js';
 import { Rank, type Committer } from './committer.js';
 import type { Effect, Log } from './effects.js';
 import { leadKey, nodeKey, shardKey, teamsKey } from './keys.js';
@@ -14,13 +15,13 @@
 export class Membership {
   hold: number | null = null;
   private asking = false;
-  private askAt = 0;
+  private readonly asks: Attempts;
+  private readonly renewals: Attempts;
   private renewAt = 0;
   private renewing = false;
   private cleared = false;
   private readonly busy = new Set<string>();
   private readonly seen = new Map<string, { run: string; at: number }>();
-  readonly ttlMs: number;
 
   constructor(
     private readonly settings: Settings,
@@ -28,9 +29,20 @@
     private readonly run: string,
     private readonly replica: Replica,
     private readonly committer: Committer,
+    /** How long this process's state lease lasts without being renewed. */
+    readonly ttlMs: number,
+    retry: RetryPolicy,
+    random: Random,
     private readonly log: Log,
   ) {
-    this.ttlMs = Math.round(settings.workers.lease_s * 1000 * operators['node-lease-ratio']);
+    this.asks = new Attempts(retry, random);
+    this.renewals = new Attempts(retry, random);
+  }
+
+  /** The state service holds our presence. */
+  get present(): boolean {
+    const mine = this.replica.nodes.get(this.settings.member);
+    return mine !== undefined && mine.run === this.run && mine.hold === this.hold;
   }
 
   get leading(): boolean {
@@ -46,7 +58,7 @@
       if (mine && mine.run !== this.run) out.push({ e: 'unlease', hold: mine.hold });
     }
     if (this.hold === null) {
-      if (!this.asking && now >= this.askAt) {
+      if (!this.asking && this.asks.take(now)) {
         this.asking = true;
         out.push({ e: 'lease', ttlMs: this.ttlMs });
       }
@@ -56,8 +68,7 @@
       this.renewing = true;
       out.push({ e: 'renew', hold: this.hold });
     }
-    if (!mine || mine.run !== this.run || mine.hold !== this.hold)
-      this.put(nodeKey(this.settings.member), nodeData(this.run, this.hold), this.hold);
+    if (!this.present) this.put(nodeKey(this.settings.member), nodeData(this.run, this.hold), this.hold);
     else if (this.replica.lead === null)
       this.put(leadKey, { member: this.settings.member, run: this.run }, this.hold);
     if (this.leading) this.lead(now);
@@ -67,7 +78,8 @@
     this.asking = false;
     this.hold = hold;
     this.renewAt = now + this.ttlMs / 3;
-    if (hold === null) this.askAt = now + this.ttlMs / 12;
+    if (hold === null) this.asks.fail(now);
+    else this.asks.ok();
   }
 
   renewed(hold: number, outcome: 'ok' | 'gone' | 'failed', now: number): void {
@@ -77,7 +89,9 @@
       this.log('warn', 'state lease ended', { hold });
       this.hold = null;
     }
-    this.renewAt = now + (outcome === 'ok' ? this.ttlMs / 3 : this.ttlMs / 12);
+    if (outcome === 'failed') this.renewals.fail(now);
+    else this.renewals.ok();
+    this.renewAt = outcome === 'ok' ? now + this.ttlMs / 3 : Math.max(now, this.renewals.notBefore);
   }
 
   /** The leader's upkeep of the team table and the grants. */
@@ -127,6 +141,22 @@
     }
   }
 
+  /** As its owner: another process is to have a shard from now on. What we still have to write for it will fail. */
+  handOver(shard: number, to: string, run: string): void {
+    const grant = this.replica.shards.get(shard);
+    if (grant?.owner !== this.settings.member || grant.run !== this.run) return;
+    const key = shardKey(shard);
+    if (this.busy.has(key)) return;
+    this.busy.add(key);
+    const done = () => void this.busy.delete(key);
+    this.committer.add({
+      rank: Rank.membership,
+      build: () => ({ when: [{ key, stamp: grant.stamp }], apply: [{ key, data: shardData(to, run) }] }),
+      ok: done,
+      conflict: done,
+    });
+  }
+
   private put(key: string, data: Record<string, unknown>, hold?: number): void {
     if (this.busy.has(key)) return;
     this.busy.add(key);
--- /dev/null
+++ b/src/core/neighbours.ts
@@ -0,0 +1,103 @@
+import type { Settings } from '../config/settings.js';
+import type { Operators } from '../config/operators.js';
+import { Recent, Vouching } from '../vouching/index.js';
+import type { Change } from '../wire/store.js';
+import type { Clock, Effect, Pulse } from './effects.js';
+import type { Replica } from './replica.js';
+
+/** A pulse older than so many state leases says nothing any more. */
+const freshLeases = 2;
+/** Pulses, at least so many in a state lease. */
+const pulsesPerLease = 4;
+const mostRecent = 512;
+
+interface Other {
+  pulse: Pulse;
+  at: number;
+}
+
+/** What this controller knows of the others, and what it tells them. */
+export class Neighbours {
+  private readonly others = new Map<string, Other>();
+  private readonly recent = new Recent(mostRecent);
+  private readonly vouching: Vouching;
+  private pulsedAt = -Infinity;
+  /** The newest revision that a peer told of, and when, ms. */
+  told = { epoch: -1, at: -Infinity };
+
+  constructor(
+    settings: Settings,
+    operators: Operators,
+    private readonly run: string,
+    private readonly replica: Replica,
+    private readonly clock: Clock,
+    private readonly ttlMs: number,
+  ) {
+    const members = settings.peers.map((p) => p.member);
+    // Several questions fit into the time for which one answer is good.
+    this.vouching = new Vouching(members, Math.min(ttlMs / 4, operators['grant-s'] * 50));
+  }
+
+  noteWeighty(change: Change): void {
+    this.recent.note(change);
+  }
+
+  loaded(epoch: number): void {
+    this.recent.readUpTo(epoch);
+  }
+
+  pulse(from: string, pulse: Pulse): void {
+    const { now } = this.clock;
+    this.vouching.heard(from, pulse.run, now);
+    this.others.set(from, { pulse, at: now });
+    this.told = { epoch: Math.max(this.told.epoch, pulse.epoch), at: now };
+  }
+
+  /** Those that live, as far as is known, and how busy they are. */
+  *helpers(): Generator<{ member: string; busy: number }> {
+    for (const [member, o] of this.others)
+      if (this.isFresh(o) && this.replica.isAlive(member, o.pulse.run))
+        yield { member, busy: o.pulse.busy / 1000 };
+  }
+
+  runOf(member: string): string | undefined {
+    return this.others.get(member)?.pulse.run;
+  }
+
+  /** Whether a member has asked the others to keep its workers. */
+  wantsFront(member: string): boolean {
+    const o = this.others.get(member);
+    return o !== undefined && o.pulse.front && this.isFresh(o);
+  }
+
+  private isFresh(o: Other): boolean {
+    return this.clock.now - o.at < freshLeases * this.ttlMs;
+  }
+
+  /** Tells the others of us, at once when there is news and from time to time without. */
+  tell(out: Effect[], busy: number, front: boolean, news: number | null): void {
+    const { now } = this.clock;
+    if (news === null && now - this.pulsedAt < this.ttlMs / pulsesPerLease) return;
+    this.pulsedAt = now;
+    const epoch = Math.max(this.replica.epoch, news ?? -1);
+    out.push({ e: 'pulse', pulse: { epoch, run: this.run, busy: Math.round(busy * 1000), front } });
+  }
+
+  // ---- vouching ----
+
+  ask(out: Effect[]): void {
+    const q = this.vouching.ask(this.clock.now, this.replica.epoch);
+    if (q) out.push({ e: 'ask', ...q });
+  }
+
+  asked(from: string, nonce: number, epoch: number, out: Effect[]): void {
+    const known = this.replica.epoch < 0 ? null : this.recent.since(epoch);
+    if (known) out.push({ e: 'vouch', to: from, nonce, known });
+  }
+
+  /** The moment up to which the view is known to be complete by a peer's answer, ms, or null. */
+  vouched(from: string, run: string, nonce: number, known: Change[], completeAt: number): number | null {
+    for (const change of known) this.replica.apply(change);
+    return this.vouching.answered(from, run, nonce, completeAt);
+  }
+}
--- a/src/core/replica.ts
+++ b/src/core/replica.ts
@@ -23,6 +23,8 @@
   jobChanged(id: string, now: JobRecord | undefined): void;
   machineChanged(host: string, now: Machine | undefined): void;
   shardChanged(shard: number): void;
+  /** A change that others must not miss: a job's end, a grant, leadership. */
+  weighty(change: Change): void;
 }
 
 /**
@@ -57,6 +59,11 @@
     return this.stamps.get(key) ?? 0;
   }
 
+  /** How many keys there are. */
+  get size(): number {
+    return this.stamps.size;
+  }
+
   /** Which write made the key's present value. */
   writer(key: string): string | undefined {
     return this.writers.get(key);
@@ -102,6 +109,8 @@
       else this.writers.delete(key);
     }
     const here = data !== undefined && data !== null;
+    const over = ref.kind === 'job' && here && (data as { s?: unknown }).s !== 'open';
+    if (over || ref.kind === 'shard' || ref.kind === 'lead') this.listener.weighty({ key, data, stamp });
     switch (ref.kind) {
       case 'lead': {
         const d = data as { member: string; run: string };
--- /dev/null
+++ b/src/core/reports.ts
@@ -0,0 +1,175 @@
+import type { Settings } from '../config/settings.js';
+import type { Report } from '../model/report.js';
+import { helper, sendsAway, successor, wantsHelp, type Load } from '../policy/sharing.js';
+import { answerOut, redirectOut } from '../wire/worker.js';
+import type { Dispatcher } from './dispatcher.js';
+import type { Clock, Effect, Log } from './effects.js';
+import type { Fleet } from './fleet.js';
+import type { Neighbours } from './neighbours.js';
+import type { Machine, Replica } from './replica.js';
+
+/** Of the 4 s that workers wait for an answer. */
+const relayMs = 2000;
+/** A shard that was handed over stays for so many worker leases. */
+const settleLeases = 4;
+/** Of the workers that report in a second, so many are sent away at most: the others' load must show first. */
+const sentAwayShare = 0.1;
+
+/** What it needs of the controller. */
+export interface ReportsHost {
+  member: string;
+  run: string;
+  /** Whether the view is new enough for workers to be answered from it. */
+  fresh(): boolean;
+  leading(): boolean;
+  handOver(shard: number, to: string, run: string): void;
+}
+
+/** Where a worker's report goes: answered here, sent to its owner, or handed on to it. */
+export class Reports {
+  /** Workers that were sent on to their owner, and when, ms. */
+  private readonly redirected = new Map<string, number>();
+  /** Reports handed on to their owner, by request, and when, ms. */
+  private readonly relays = new Map<number, number>();
+  private load: Load = { busy: 0, connections: 0, machines: 0 };
+  private helped = false;
+  private sentAway = 0;
+  /** Since the last look at how the shards are served. */
+  private direct = 0;
+  private through = new Map<string, number>();
+  private lookedAt = 0;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly replica: Replica,
+    private readonly dispatcher: Dispatcher,
+    private readonly fleet: Fleet,
+    private readonly neighbours: Neighbours,
+    private readonly clock: Clock,
+    private readonly host: ReportsHost,
+    private readonly limits: { own: number; relays: number },
+    private readonly log: Log,
+  ) {}
+
+  get busy(): number {
+    return this.load.busy;
+  }
+
+  /** Others are asked to keep the workers that reach them. */
+  get front(): boolean {
+    return this.helped;
+  }
+
+  checkin(rid: number, report: Report, from: string | null, out: Effect[]): void {
+    const answer = (status: number, body: object, retryAfterS?: number) =>
+      void out.push({ e: 'answer', rid, status, body, retryAfterS });
+    // Guards against acting on an old view: a cancellation seen by users could be missed here, and the
+    // answer would keep the task alive.
+    if (!this.host.fresh()) return answer(503, {}, 1);
+    const m = this.replica.machines.get(report.host);
+    if (!m) {
+      if (this.host.leading()) {
+        this.fleet.unexpected(report);
+        return answer(503, {}, 1);
+      }
+      return answer(421, redirectOut(this.replica.lead?.member ?? null));
+    }
+    const custodian = this.replica.custodian(m);
+    if (!custodian || custodian.member !== this.host.member || custodian.run !== this.host.run)
+      return this.elsewhere(rid, report, m, from, out);
+    this.redirected.delete(report.host);
+    // Somebody came under a newer token: we are the stale owner and do not know it yet.
+    if (report.token > custodian.token) return answer(421, redirectOut(null));
+    if (from === null) this.direct++;
+    else this.through.set(from, (this.through.get(from) ?? 0) + 1);
+    if (m.shard < 0) {
+      this.fleet.heardFrom(m.host);
+      return answer(200, answerOut(custodian.token, []));
+    }
+    const run = this.dispatcher.machines.get(m.host);
+    if (!run) return answer(503, {}, 1);
+    if (from === null && this.mayGo(report.token === custodian.token)) {
+      const to = helper(this.neighbours.helpers());
+      if (to !== null) {
+        this.sentAway++;
+        return answer(421, redirectOut(to));
+      }
+    }
+    this.fleet.heardFrom(m.host);
+    const orders = this.dispatcher.checkins.checkin(run, report, custodian.token);
+    answer(200, answerOut(custodian.token, orders));
+  }
+
+  /** Whether a worker is to report through another controller from now on. One that has yet to be proven is not. */
+  private mayGo(proven: boolean): boolean {
+    const most = Math.max(1, this.dispatcher.machines.size * sentAwayShare);
+    return this.helped && proven && this.sentAway < most && sendsAway(this.load, this.limits.own);
+  }
+
+  private elsewhere(rid: number, report: Report, m: Machine, from: string | null, out: Effect[]): void {
+    const { now } = this.clock;
+    const custodian = this.replica.custodian(m);
+    const there =
+      custodian !== null &&
+      custodian.member !== this.host.member &&
+      this.replica.isAlive(custodian.member, custodian.run);
+    // A worker that was sent there and is here again cannot reach the owner: its report goes through us, so that a cut
+    // between two zones does not cost its lease. So does that of a worker whose owner has asked for help.
+    const sentAt = this.redirected.get(report.host) ?? -Infinity;
+    const back = now - sentAt < this.settings.workers.lease_s * 1000;
+    const relay = there && from === null && (back || this.neighbours.wantsFront(custodian.member));
+    if (relay && this.relays.size < this.limits.relays) {
+      if (back) this.redirected.set(report.host, now);
+      this.relays.set(rid, now);
+      out.push({ e: 'relay', to: custodian.member, rid, report });
+      return;
+    }
+    if (there) this.redirected.set(report.host, now);
+    out.push({ e: 'answer', rid, status: 421, body: redirectOut(there ? custodian.member : null) });
+  }
+
+  relayed(rid: number, status: number, body: object | string, out: Effect[]): void {
+    if (this.relays.delete(rid)) out.push({ e: 'answer', rid, status, body });
+  }
+
+  /** What the process has been doing lately. */
+  measured(busy: number, connections: number): void {
+    this.load = { busy, connections, machines: this.dispatcher.machines.size };
+    this.sentAway = 0;
+    const helped = this.dispatcher.owned.size > 0 && wantsHelp(this.helped, this.load, this.limits.own);
+    if (helped === this.helped) return;
+    this.helped = helped;
+    this.log('info', helped ? 'others keep our workers' : 'our workers come back', { ...this.load });
+  }
+
+  tick(out: Effect[]): void {
+    const { now } = this.clock;
+    for (const [rid, at] of this.relays) {
+      // In order of age.
+      if (now - at <= relayMs) break;
+      this.relays.delete(rid);
+      out.push({ e: 'answer', rid, status: 503, body: {} });
+    }
+    if (now - this.lookedAt >= this.settings.workers.lease_s * 500) this.look();
+  }
+
+  /** Whether a shard would be served better by another controller. */
+  private look(): void {
+    const { now } = this.clock;
+    this.lookedAt = now;
+    const standing = { direct: this.direct, through: this.through, helped: this.helped, busy: this.busy };
+    this.direct = 0;
+    this.through = new Map();
+    const settled = now - this.dispatcher.tookUpAt > this.settings.workers.lease_s * 1000 * settleLeases;
+    if (this.dispatcher.owned.size === 0 || !settled || !this.host.fresh()) return;
+    const to = successor(standing, [...this.neighbours.helpers()]);
+    const run = to === null ? undefined : this.neighbours.runOf(to);
+    if (to === null || run === undefined) return;
+    const { direct, busy } = standing;
+    const through = Object.fromEntries(standing.through);
+    for (const shard of this.dispatcher.owned) {
+      this.log('info', 'handing over shard', { shard, to, direct, through, busy });
+      this.host.handOver(shard, to, run);
+    }
+  }
+}
--- a/src/core/round/round.ts
+++ b/src/core/round/round.ts
@@ -73,6 +73,10 @@
     const { openings } = round;
     const count = waitingCount(job);
     const hopeless = !round.claimed.has(job.id) && openings.hopeless(job.spec, count);
+    if (job.mending !== null) {
+      placeEach(job, round);
+      continue;
+    }
     if (job.spec.shape === 'gang') {
       if (!hopeless && placeGang(job, round)) {
         yield openings.looked;
--- a/src/core/round/singles.ts
+++ b/src/core/round/singles.ts
@@ -29,7 +29,7 @@
     }
     if (at.length >= left) break;
   }
-  if (at.length > 0) books.place(job, at);
+  if (at.length > 0) books.place(job, at, job.mending ?? undefined);
   openings.changed(new Set(at.map((a) => a.host)));
   if (waitingCount(job) === 0) books.claims.end(job.id);
   if (withImage) return;
--- a/src/core/upkeep.ts
+++ b/src/core/upkeep.ts
@@ -23,7 +23,7 @@
       // Steady clocks differ by up to 0.05%; the margin also covers a lease check that comes late.
       if (m.placements.size > 0 && now > m.leaseUntil + w.lease_s * 1.5 + 1000) {
         this.books.log('info', 'lease of a silent machine ended', { host: m.host, silentS });
-        for (const p of [...m.placements.values()]) this.books.gone(p, 'lease ended');
+        for (const p of [...m.placements.values()]) this.books.gone(p, 'lease ended', 'lost');
       }
       if (m.record.standing !== 'use' || m.releasing) continue;
       // Guards against a hasty new owner: before it was heard, a machine may be up under the earlier one.
--- /dev/null
+++ b/src/limits/index.ts
@@ -0,0 +1,1 @@
+export { limitsOf, type Limits, type LimitSettings } from './limits.js';
--- /dev/null
+++ b/src/memory.ts
@@ -0,0 +1,49 @@
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+import type { Log } from './core/effects.js';
+import type { Limits } from './limits/index.js';
+
+/** A collection that was asked for costs much: so long after one none is asked for again. */
+const restMs = 20_000;
+
+/**
+ * Keeps what the process holds below what the settings give it. The engine takes its own limit from the command line,
+ * which is the same for all deployments; so it is told to collect when the deployment's limit is near.
+ */
+export class Memory {
+  private collectedAt = -Infinity;
+  private collect: (() => void) | null = null;
+  private tight = false;
+
+  constructor(
+    private readonly limits: Limits['memory'],
+    private readonly log: Log,
+  ) {}
+
+  /** Whether only what is needed most should be taken in now. */
+  look(now: number): boolean {
+    let held = heldMb();
+    if (held > this.limits.collectMb && now - this.collectedAt > restMs) {
+      this.collectedAt = now;
+      this.collector()();
+      const before = held;
+      held = heldMb();
+      this.log('info', 'memory collected', { before: Math.round(before), after: Math.round(held) });
+    }
+    const tight = held > this.limits.tightMb;
+    if (tight !== this.tight)
+      this.log('warn', tight ? 'memory is short' : 'memory is enough again', { held });
+    this.tight = tight;
+    return tight;
+  }
+
+  private collector(): () => void {
+    if (!this.collect) {
+      setFlagsFromString('--expose-gc');
+      this.collect = runInNewContext('gc') as () => void;
+    }
+    return this.collect;
+  }
+}
+
+const heldMb = (): number => process.memoryUsage.rss() / 1024 / 1024;
--- a/src/peers/frames.ts
+++ b/src/peers/frames.ts
@@ -1,75 +1,181 @@
 import protobuf from 'protobufjs/light.js';
+import type { Pulse } from '../core/effects.js';
+import type { ExitWhy, Report, TaskPhase } from '../model/report.js';
 
 /**
  * What controllers tell each other: one protobuf message a frame, behind its length as a 32-bit number.
- * All of it only speeds things up or carries a worker's report around a cut; the state service stays the truth.
+ * All of it only speeds things up or carries a worker's report to its owner; the state service stays the truth.
+ * Counters are doubles: they are exact below 2^53 and need no 64-bit integers.
  */
 const root = protobuf.Root.fromJSON({
   nested: {
     Frame: {
-      oneofs: { body: { oneof: ['hello', 'relay', 'relayed', 'pulse'] } },
+      oneofs: { body: { oneof: ['hello', 'relay', 'relayed', 'pulse', 'ask', 'vouch'] } },
       fields: {
         hello: { type: 'Hello', id: 1 },
-        relay: { type: 'Relay', id: 2 },
         relayed: { type: 'Relayed', id: 3 },
         pulse: { type: 'Pulse', id: 4 },
+        relay: { type: 'Relay', id: 5 },
+        ask: { type: 'Ask', id: 6 },
+        vouch: { type: 'Vouch', id: 7 },
       },
     },
     Hello: { fields: { member: { type: 'string', id: 1 }, run: { type: 'string', id: 2 } } },
-    /** A worker's report that reached the wrong controller, as the worker sent it. */
-    Relay: { fields: { id: { type: 'uint32', id: 1 }, report: { type: 'bytes', id: 2 } } },
+    /** A worker's report that reached the wrong controller. */
+    Relay: { fields: { id: { type: 'uint32', id: 1 }, report: { type: 'Report', id: 2 } } },
+    Report: {
+      fields: {
+        host: { type: 'string', id: 1 },
+        endpoint: { type: 'string', id: 2 },
+        type: { type: 'string', id: 3 },
+        zone: { type: 'string', id: 4 },
+        spot: { type: 'bool', id: 5 },
+        session: { type: 'double', id: 6 },
+        seq: { type: 'double', id: 7 },
+        token: { type: 'double', id: 8 },
+        /** Below zero: no notice. */
+        noticeS: { type: 'double', id: 9 },
+        tasks: { rule: 'repeated', type: 'Task', id: 10 },
+      },
+    },
+    Task: {
+      fields: {
+        job: { type: 'string', id: 1 },
+        index: { type: 'uint32', id: 2 },
+        attempt: { type: 'double', id: 3 },
+        phase: { type: 'uint32', id: 4 },
+        /** 0: none. */
+        why: { type: 'uint32', id: 5 },
+        saved: { type: 'bool', id: 6 },
+      },
+    },
+    /** The answer to a relayed report, as the worker is to get it. */
     Relayed: {
       fields: {
         id: { type: 'uint32', id: 1 },
         status: { type: 'uint32', id: 2 },
-        body: { type: 'bytes', id: 3 },
+        body: { type: 'string', id: 3 },
+      },
+    },
+    Pulse: {
+      fields: {
+        /** The newest revision that the sender knows of. */
+        epoch: { type: 'double', id: 1 },
+        run: { type: 'string', id: 2 },
+        /** How busy the sender is, in thousandths of what it has. */
+        busy: { type: 'uint32', id: 3 },
+        /** Its workers may stay at whoever they reach: their reports are to be relayed. */
+        front: { type: 'bool', id: 4 },
+      },
+    },
+    /** What do you know above this revision? */
+    Ask: { fields: { nonce: { type: 'uint32', id: 1 }, epoch: { type: 'double', id: 2 } } },
+    /** All of it, as JSON. */
+    Vouch: {
+      fields: {
+        nonce: { type: 'uint32', id: 1 },
+        run: { type: 'string', id: 2 },
+        known: { type: 'string', id: 3 },
       },
     },
-    /** The newest revision that the sender knows of. */
-    Pulse: { fields: { epoch: { type: 'uint64', id: 1 } } },
   },
 });
 const type = root.lookupType('Frame');
 
+const phases: TaskPhase[] = ['fetching', 'waiting', 'running', 'saving', 'exited'];
+const whys: (ExitWhy | null)[] = [
+  null,
+  'done',
+  'stopped',
+  'peers',
+  'alone',
+  'error',
+  'full',
+  'busy',
+  'unknown',
+];
+
 export type Frame =
   | { hello: { member: string; run: string } }
-  | { relay: { id: number; report: string } }
+  | { relay: { id: number; report: Report } }
   | { relayed: { id: number; status: number; body: string } }
-  | { pulse: { epoch: number } };
+  | { pulse: Pulse }
+  | { ask: { nonce: number; epoch: number } }
+  | { vouch: { nonce: number; run: string; known: string } };
 
-const bytes = (s: string): Uint8Array => new Uint8Array(Buffer.from(s, 'utf8'));
+interface RawTask {
+  job: string;
+  index: number;
+  attempt: number;
+  phase: number;
+  why: number;
+  saved: boolean;
+}
+type RawReport = Omit<Report, 'noticeS' | 'tasks'> & { noticeS: number; tasks: RawTask[] };
+
+const reportOut = (r: Report): RawReport => ({
+  ...r,
+  noticeS: r.noticeS ?? -1,
+  tasks: r.tasks.map((t) => ({ ...t, phase: phases.indexOf(t.phase), why: whys.indexOf(t.why) })),
+});
+
+const reportIn = (r: RawReport): Report => ({
+  host: r.host,
+  endpoint: r.endpoint,
+  type: r.type,
+  zone: r.zone,
+  spot: r.spot,
+  session: r.session,
+  seq: r.seq,
+  token: r.token,
+  noticeS: r.noticeS < 0 ? null : r.noticeS,
+  tasks: r.tasks.map((t) => ({
+    job: t.job,
+    index: t.index,
+    attempt: t.attempt,
+    // A state that this version does not know still means that the task is on the machine.
+    phase: phases[t.phase] ?? 'running',
+    why: t.why < whys.length ? whys[t.why] : 'error',
+    saved: t.saved,
+  })),
+});
 
 export function encodeFrame(frame: Frame): Buffer {
-  let wire: object = frame;
-  if ('relay' in frame) wire = { relay: { id: frame.relay.id, report: bytes(frame.relay.report) } };
-  if ('relayed' in frame) wire = { relayed: { ...frame.relayed, body: bytes(frame.relayed.body) } };
-  const body = type.encode(type.fromObject(wire)).finish();
+  const wire =
+    'relay' in frame ? { relay: { id: frame.relay.id, report: reportOut(frame.relay.report) } } : frame;
+  const body = type.encode(wire).finish();
   const out = Buffer.allocUnsafe(4 + body.length);
   out.writeUInt32BE(body.length, 0);
   out.set(body, 4);
   return out;
 }
 
-interface Raw {
-  hello?: { member: string; run: string };
-  relay?: { id: number; report: Uint8Array };
-  relayed?: { id: number; status: number; body: Uint8Array };
-  pulse?: { epoch: number | { toNumber(): number } };
-}
-
 function decodeFrame(body: Uint8Array): Frame | null {
-  const f = type.decode(body) as unknown as Raw;
-  if (f.hello) return { hello: { member: f.hello.member, run: f.hello.run } };
-  if (f.relay) return { relay: { id: f.relay.id, report: Buffer.from(f.relay.report).toString('utf8') } };
-  if (f.relayed)
-    return {
-      relayed: {
-        id: f.relayed.id,
-        status: f.relayed.status,
-        body: Buffer.from(f.relayed.body).toString('utf8'),
-      },
-    };
-  if (f.pulse) return { pulse: { epoch: Number(f.pulse.epoch) } };
+  const f = type.decode(body) as unknown as Partial<Record<string, unknown>>;
+  if (f['hello']) {
+    const { member, run } = f['hello'] as { member: string; run: string };
+    return { hello: { member, run } };
+  }
+  if (f['relay']) {
+    const { id, report } = f['relay'] as { id: number; report: RawReport | null };
+    return report ? { relay: { id, report: reportIn(report) } } : null;
+  }
+  if (f['relayed']) {
+    const { id, status, body: text } = f['relayed'] as { id: number; status: number; body: string };
+    return { relayed: { id, status, body: text } };
+  }
+  if (f['pulse']) {
+    const { epoch, run, busy, front } = f['pulse'] as Pulse;
+    return { pulse: { epoch, run, busy, front } };
+  }
+  if (f['ask']) {
+    const { nonce, epoch } = f['ask'] as { nonce: number; epoch: number };
+    return { ask: { nonce, epoch } };
+  }
+  if (f['vouch']) {
+    const { nonce, run, known } = f['vouch'] as { nonce: number; run: string; known: string };
+    return { vouch: { nonce, run, known } };
+  }
   return null;
 }
 
@@ -82,14 +188,16 @@
   push(data: Buffer): Frame[] {
     this.rest = this.rest.length === 0 ? data : Buffer.concat([this.rest, data]);
     const frames: Frame[] = [];
-    while (this.rest.length >= 4) {
-      const length = this.rest.readUInt32BE(0);
+    let at = 0;
+    while (this.rest.length - at >= 4) {
+      const length = this.rest.readUInt32BE(at);
       if (length > mostFrame) throw new Error(`frame of ${length} bytes`);
-      if (this.rest.length < 4 + length) break;
-      const frame = decodeFrame(this.rest.subarray(4, 4 + length));
-      this.rest = this.rest.subarray(4 + length);
+      if (this.rest.length - at < 4 + length) break;
+      const frame = decodeFrame(this.rest.subarray(at + 4, at + 4 + length));
+      at += 4 + length;
       if (frame) frames.push(frame);
     }
+    this.rest = this.rest.subarray(at);
     return frames;
   }
 }
--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -1,11 +1,10 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import { splitAddr, type Settings } from '../config/settings.js';
 import type { Log } from '../core/effects.js';
+import { pauseMs, type Random, type RetryPolicy } from '../retry/index.js';
 import { encodeFrame, FrameReader, type Frame } from './frames.js';
 
-const reconnectMs = 1000;
 const mostQueued = 1024 * 1024;
-const mostInbound = 32;
 
 /**
  * Connections between the controllers: each dials every other one and sends on its own connection. What
@@ -19,6 +18,9 @@
   constructor(
     private readonly settings: Settings,
     private readonly run: string,
+    private readonly retry: RetryPolicy,
+    private readonly random: Random,
+    mostInbound: number,
     private readonly log: Log,
     private readonly got: (from: string, frame: Frame) => void,
     private readonly lost: (member: string) => void,
@@ -39,6 +41,12 @@
   send(to: string, frame: Frame): boolean {
     const link = this.out.get(to);
     if (!link?.ready || !link.socket || link.socket.writableLength > mostQueued) return false;
+    // What one step sends goes out together.
+    if (link.socket.writableCorked === 0) {
+      const { socket } = link;
+      socket.cork();
+      process.nextTick(() => socket.uncork());
+    }
     link.socket.write(encodeFrame(frame));
     return true;
   }
@@ -52,16 +60,18 @@
   private dial(member: string, addr: string): void {
     const link = { socket: null as Socket | null, ready: false };
     this.out.set(member, link);
+    let failures = 0;
     const open = (broken = false): void => {
       if (this.stopped) return;
       const socket = connect(splitAddr(addr));
       link.socket = socket;
       socket.setNoDelay(true);
-      socket.setTimeout(reconnectMs * 5, () => {
+      socket.setTimeout(this.retry.deadlineMs, () => {
         if (!link.ready) socket.destroy();
       });
       socket.on('connect', () => {
         link.ready = true;
+        failures = 0;
         socket.write(encodeFrame({ hello: { member: this.settings.member, run: this.run } }));
       });
       socket.on('data', () => undefined);
@@ -73,7 +83,7 @@
         const stood = link.ready;
         link.ready = false;
         if (stood) open(true);
-        else setTimeout(() => open(), reconnectMs).unref();
+        else setTimeout(() => open(), pauseMs(this.retry, ++failures, this.random)).unref();
       });
     };
     open();
--- /dev/null
+++ b/src/recovery/index.ts
@@ -0,0 +1,1 @@
+export { phaseOf, Recovery, type Facts, type Phase, type Recovered, type Transition } from './recovery.js';
--- /dev/null
+++ b/src/recovery/recovery.ts
@@ -0,0 +1,84 @@
+/**
+ * What a controller goes through from its first instruction until it serves again:
+ *
+ *     reading   the state, page by page; nobody can be answered from memory yet
+ *     joining   has a view; its presence is being written
+ *     standby   present, without a shard: answers users, sends workers to their owner
+ *     proving   owns a shard; machines with tasks on them have to report under its token first
+ *     serving   every machine that held tasks when the shard was taken up has reported or is proven gone
+ *
+ * It goes back from any phase to an earlier one when what that rests on is lost.
+ */
+export type Phase = 'reading' | 'joining' | 'standby' | 'proving' | 'serving';
+
+/** What is the case now. */
+export interface Facts {
+  /** The view has been read whole. */
+  read: boolean;
+  /** The state service holds our presence. */
+  present: boolean;
+  /** Shards of ours. */
+  owned: number;
+  /** Machines that held tasks when their shard was taken up and have neither reported nor gone since. */
+  unproven: number;
+  /** Placements that this process has decided so far. */
+  placed: number;
+}
+
+export interface Transition {
+  from: Phase;
+  to: Phase;
+  /** Since the process began, ms. */
+  atMs: number;
+  /** How long the phase that ends has lasted, ms. */
+  lastedMs: number;
+}
+
+export interface Recovered {
+  /** From owning a shard to all of its machines proven, ms. */
+  provenMs: number;
+  /** From the start of the process to its first placement, ms; null: nothing was placed yet. */
+  firstPlacementMs: number | null;
+  late: boolean;
+}
+
+export const phaseOf = (f: Facts): Phase => {
+  if (!f.read) return 'reading';
+  if (!f.present) return 'joining';
+  if (f.owned === 0) return 'standby';
+  return f.unproven > 0 ? 'proving' : 'serving';
+};
+
+/** Follows a process through the phases and keeps the times. Times are since the process began, ms. */
+export class Recovery {
+  phase: Phase = 'reading';
+  private since = 0;
+  private ownedAt: number | null = null;
+  private firstPlacementMs: number | null = null;
+  private reported = false;
+
+  /** `boundMs`: so long after it began to own a shard, all machines should be proven. */
+  constructor(private readonly boundMs: number) {}
+
+  step(now: number, facts: Facts): Transition | null {
+    if (facts.owned === 0) {
+      this.ownedAt = null;
+      this.reported = false;
+    } else this.ownedAt ??= now;
+    if (this.firstPlacementMs === null && facts.placed > 0) this.firstPlacementMs = now;
+    const to = phaseOf(facts);
+    if (to === this.phase) return null;
+    const t: Transition = { from: this.phase, to, atMs: now, lastedMs: now - this.since };
+    this.phase = to;
+    this.since = now;
+    return t;
+  }
+
+  /** Once for each time that a shard was taken up and all of it is proven. */
+  recovered(now: number): Recovered | null {
+    if (this.phase !== 'serving' || this.reported || this.ownedAt === null) return null;
+    this.reported = true;
+    const provenMs = now - this.ownedAt;
+    return { provenMs, firstPlacementMs: this.firstPlacementMs, late: provenMs > this.boundMs };
+  }
+}
--- a/src/service.ts
+++ b/src/service.ts
@@ -6,51 +6,78 @@
 import { splitAddr, type Settings } from './config/settings.js';
 import { Controller } from './core/controller.js';
 import type { Command, Effect, Log } from './core/effects.js';
+import { Intake } from './intake.js';
+import { limitsOf, type Limits } from './limits/index.js';
+import { Memory } from './memory.js';
 import type { Mesh } from './peers/mesh.js';
 import type { Frame } from './peers/frames.js';
-import { Follower, Store } from './state/store.js';
-import { parseReport, reportOut } from './wire/worker.js';
+import { Attempts, retryPolicies, seeded, type Random, type RetryPolicies } from './retry/index.js';
+import { Follower } from './state/follower.js';
+import { Store } from './state/store.js';
 import { PublicServer } from './users/server.js';
+import type { Change } from './wire/store.js';
 
 const tickMs = 50;
+const measureMs = 1000;
+/** Polls may use this share of the request budget that is this controller's share; the first reading all of it. */
+const pollShare = 1 / 3;
 
 /** Wires the core to the world: commands are queued and worked off in batches, effects carried out. */
 export class Service {
   readonly controller: Controller;
   private readonly store: Store;
   private readonly run: string;
+  private readonly random: Random;
+  private readonly retry: RetryPolicies;
+  private readonly limits: Limits;
   private readonly cloud: Cloud;
-  private readonly workers = new Workers();
+  private readonly workers: Workers;
   private readonly follower: Follower;
   private readonly front: PublicServer;
+  private readonly intake: Intake;
+  private readonly memory: Memory;
   private mesh: Mesh | null = null;
   /** Answers owed to peers that relayed a report: by our request number. */
   private readonly owed = new Map<number, { to: string; id: number }>();
   private owedCount = 0;
-  private queue: Command[] = [];
   private scheduled = false;
+  private utilization = performance.eventLoopUtilization();
 
   constructor(
     private readonly settings: Settings,
     operators: Operators,
     private readonly log: Log,
   ) {
-    const run = randomBytes(4).toString('hex');
-    this.controller = new Controller(settings, operators, run, log);
-    this.run = run;
-    this.store = new Store(settings.endpoints.state);
-    this.cloud = new Cloud(settings.endpoints.cloud);
-    // Polls may use about a third of the request budget that is this node's share.
+    const seed = randomBytes(4);
+    this.run = seed.toString('hex');
+    this.random = seeded(seed.readInt32LE());
+    const stateLeaseMs = settings.workers.lease_s * 1000 * operators['node-lease-ratio'];
+    this.retry = retryPolicies({ ...settings, stateLeaseMs });
+    this.limits = limitsOf(settings);
+    this.controller = new Controller(settings, operators, this.run, this.random, log);
+    this.store = new Store(settings.endpoints.state, this.retry.state.deadlineMs);
+    this.cloud = new Cloud(settings.endpoints.cloud, this.retry.cloud.deadlineMs);
+    this.workers = new Workers(this.retry.workers.deadlineMs, this.limits.sockets.orders);
+    this.memory = new Memory(this.limits.memory, log);
+    this.intake = new Intake(settings, this.limits, this.random);
     const share = settings.state.rps / (1 + settings.peers.length);
-    this.follower = new Follower(this.store, 1000 / (share / 3), () => performance.now(), {
-      loaded: (items, epoch) => this.push({ c: 'loaded', items, epoch }),
-      changed: (changes, epoch) => this.push({ c: 'changes', changes, epoch }),
-      read: (sentAt, epoch) => this.push({ c: 'epoch', sentAt, epoch }),
-    });
+    this.follower = new Follower(
+      this.store,
+      { everyMs: 1000 / (share * pollShare), pageMs: 1000 / share, burst: share / 2 },
+      new Attempts(this.retry.state, this.random),
+      () => performance.now(),
+      {
+        reading: (keys) => this.push({ c: 'reading', keys }),
+        loaded: (items, epoch) => this.push({ c: 'loaded', items, epoch }),
+        changed: (changes, epoch) => this.push({ c: 'changes', changes, epoch }),
+        read: (sentAt, epoch) => this.push({ c: 'epoch', sentAt, epoch }),
+      },
+    );
     this.front = new PublicServer(
       (c) => this.push(c),
       () => this.controller.healthy,
-      Math.floor(settings.quota.fd_limit * 0.8),
+      this.limits.sockets,
+      settings.workers.report_s * 1000,
     );
   }
 
@@ -63,11 +90,15 @@
     this.log('info', 'listening', { member: this.settings.member, addr: this.settings.publicAddr });
     void this.follower.run();
     setInterval(() => this.push({ c: 'tick' }), tickMs);
+    setInterval(() => this.measure(), measureMs);
     // Loaded only now: start-up time counts, and nobody waits for the talk between controllers.
     const { Mesh } = await import('./peers/mesh.js');
     const mesh = new Mesh(
       this.settings,
       this.run,
+      this.retry.peers,
+      this.random,
+      this.limits.sockets.peers,
       this.log,
       (from, frame) => this.fromPeer(from, frame),
       (member) => this.push({ c: 'peer-lost', member }),
@@ -76,59 +107,80 @@
     this.mesh = mesh;
   }
 
+  private measure(): void {
+    const now = performance.eventLoopUtilization();
+    const { utilization: busy } = performance.eventLoopUtilization(now, this.utilization);
+    this.utilization = now;
+    this.push({ c: 'load', busy, connections: this.front.tend(performance.now()) });
+    this.intake.tight = this.memory.look(performance.now());
+  }
+
   private fromPeer(from: string, frame: Frame): void {
-    if ('pulse' in frame) return this.push({ c: 'pulse', epoch: frame.pulse.epoch });
-    try {
-      if ('relay' in frame) {
-        const report = parseReport(JSON.parse(frame.relay.report));
-        if (typeof report === 'string')
-          return this.log('warn', 'bad report from a peer', { from, why: report });
-        // Below zero, so that they never meet the numbers of our own server's requests.
-        const rid = -++this.owedCount;
-        this.owed.set(rid, { to: from, id: frame.relay.id });
-        this.push({ c: 'checkin', rid, report, from });
-      } else if ('relayed' in frame) {
-        const { id, status, body } = frame.relayed;
-        this.push({ c: 'relayed', rid: id, status, body: JSON.parse(body) as object });
+    if ('pulse' in frame) return this.push({ c: 'pulse', from, pulse: frame.pulse });
+    if ('relay' in frame) {
+      // Below zero, so that they never meet the numbers of our own server's requests.
+      const rid = -++this.owedCount;
+      this.owed.set(rid, { to: from, id: frame.relay.id });
+      this.push({ c: 'checkin', rid, report: frame.relay.report, from });
+    } else if ('relayed' in frame) {
+      const { id, status, body } = frame.relayed;
+      this.push({ c: 'relayed', rid: id, status, body });
+    } else if ('ask' in frame) this.push({ c: 'asked', from, ...frame.ask });
+    else if ('vouch' in frame) {
+      const { nonce, run, known } = frame.vouch;
+      try {
+        this.push({ c: 'vouched', from, run, nonce, known: JSON.parse(known) as Change[] });
+      } catch (e) {
+        this.log('warn', 'bad message from a peer', { from, error: String((e as Error).message) });
       }
-    } catch (e) {
-      this.log('warn', 'bad message from a peer', { from, error: String((e as Error).message) });
     }
   }
 
   private push(c: Command): void {
-    this.queue.push(c);
-    if (this.scheduled) return;
+    for (const e of this.intake.offer(c, performance.now())) this.carryOut(e);
+    this.schedule();
+  }
+
+  private schedule(): void {
+    if (this.scheduled || this.intake.empty) return;
     this.scheduled = true;
     setImmediate(() => this.work());
   }
 
   private work(): void {
     this.scheduled = false;
-    const commands = this.queue;
-    this.queue = [];
-    const effects = this.controller.step(commands, { now: performance.now(), wall: Date.now() });
+    const now = performance.now();
+    const { commands, answers } = this.intake.take(now);
+    for (const e of answers) this.carryOut(e);
+    const effects = this.controller.step(commands, { now, wall: Date.now() });
     for (const e of effects) this.carryOut(e);
+    this.schedule();
   }
 
   private carryOut(e: Effect): void {
     switch (e.e) {
-      case 'relay': {
-        const report = JSON.stringify(reportOut(e.report));
-        if (!this.mesh?.send(e.to, { relay: { id: e.rid, report } }))
+      case 'relay':
+        if (!this.mesh?.send(e.to, { relay: { id: e.rid, report: e.report } }))
           this.push({ c: 'relayed', rid: e.rid, status: 503, body: {} });
         break;
-      }
       case 'pulse':
-        for (const p of this.settings.peers) this.mesh?.send(p.member, { pulse: { epoch: e.epoch } });
+        for (const p of this.settings.peers) this.mesh?.send(p.member, { pulse: e.pulse });
+        break;
+      case 'ask':
+        for (const p of this.settings.peers)
+          this.mesh?.send(p.member, { ask: { nonce: e.nonce, epoch: e.epoch } });
         break;
+      case 'vouch': {
+        const known = JSON.stringify(e.known);
+        this.mesh?.send(e.to, { vouch: { nonce: e.nonce, run: this.run, known } });
+        break;
+      }
       case 'answer': {
         const owed = this.owed.get(e.rid);
         if (owed) {
           this.owed.delete(e.rid);
-          this.mesh?.send(owed.to, {
-            relayed: { id: owed.id, status: e.status, body: JSON.stringify(e.body) },
-          });
+          const body = typeof e.body === 'string' ? e.body : JSON.stringify(e.body);
+          this.mesh?.send(owed.to, { relayed: { id: owed.id, status: e.status, body } });
           break;
         }
         this.front.answer(e.rid, e.status, e.body, e.retryAfterS);
--- /dev/null
+++ b/src/state/follower.ts
@@ -0,0 +1,162 @@
+import type { Attempts } from '../retry/index.js';
+import type { Change } from '../wire/store.js';
+import type { Changes, Page } from './store.js';
+
+const watchMs = 2000;
+
+/** What the follower reads from. */
+export interface Source {
+  page(from: string): Promise<Page | 'busy' | null>;
+  changes(from: number, blockMs: number): Promise<Changes | 'old' | 'busy' | null>;
+}
+
+/** What the follower hands on. A reading tells that the view was complete at `sentAt` once it has reached `epoch`. */
+export interface FollowerEvents {
+  /** A page of the first reading has come. */
+  reading(keys: number): void;
+  loaded(items: Change[], epoch: number): void;
+  changed(changes: Change[], epoch: number): void;
+  read(sentAt: number, epoch: number | null): void;
+}
+
+export interface FollowerPace {
+  /** Between two polls; the request budget is shared by all controllers. */
+  everyMs: number;
+  /** Between two pages of the first reading, and how many may go at once before that. */
+  pageMs: number;
+  burst: number;
+}
+
+/**
+ * Follows the state: reads it whole, then its changes. While somebody waits for a fresh view it asks for them
+ * over and over, which tells the present revision and brings the view there in one request; otherwise it leaves
+ * a watch open. What fails is tried again as the retry policy says, and meanwhile whoever asks is told at once.
+ */
+export class Follower {
+  private from = -1;
+  private wanted = -1;
+  private asked = false;
+  private polling = false;
+  private polledAt = -Infinity;
+  private timer: NodeJS.Timeout | null = null;
+  private wake: (() => void) | null = null;
+
+  constructor(
+    private readonly source: Source,
+    private readonly pace: FollowerPace,
+    private readonly attempts: Attempts,
+    private readonly now: () => number,
+    private readonly events: FollowerEvents,
+  ) {}
+
+  /** Somebody waits for this revision. */
+  hurry(epoch: number): void {
+    if (epoch <= this.from) return;
+    this.wanted = Math.max(this.wanted, epoch);
+    this.ask();
+  }
+
+  /** Somebody waits for a view that is as new as now. */
+  ask(): void {
+    // Guards against a request of every user in an outage: those who ask between two tries are told so at once.
+    if (this.attempts.failures > 0 && this.now() < this.attempts.notBefore)
+      return this.events.read(this.now(), null);
+    this.asked = true;
+    this.wake?.();
+    if (this.from >= 0) this.schedule();
+  }
+
+  async run(): Promise<never> {
+    for (;;) {
+      if (this.from < 0) await this.load();
+      // Polls bring the changes as long as they follow each other; a watch beside them would bring them twice.
+      if (this.polling || this.timer !== null) {
+        await this.pause(this.pace.everyMs);
+        continue;
+      }
+      await this.take(watchMs);
+      await this.pause(Math.max(this.pace.everyMs * 2, this.attempts.notBefore - this.now()));
+    }
+  }
+
+  /** Reads everything, page by page. A page that does not come is asked for again: what was read stays good. */
+  private async load(): Promise<void> {
+    const items: Change[] = [];
+    let epoch = -1;
+    let left = this.pace.burst;
+    for (let from = ''; ;) {
+      const page = await this.source.page(from);
+      if (page === null || page === 'busy') {
+        this.attempts.fail(this.now());
+        if (page === null) this.events.read(this.now(), null);
+        this.asked = false;
+        await this.pause(Math.max(this.pace.everyMs, this.attempts.notBefore - this.now()));
+        continue;
+      }
+      this.attempts.ok();
+      // Changes made since the first page are read behind it.
+      if (epoch < 0) epoch = page.epoch;
+      for (const i of page.items) items.push(i);
+      if (!page.more || page.items.length === 0) break;
+      this.events.reading(items.length);
+      from = page.items[page.items.length - 1].key;
+      if (--left <= 0) await this.sleep(this.pace.pageMs);
+    }
+    this.from = epoch;
+    this.events.loaded(items, epoch);
+  }
+
+  private schedule(): void {
+    if (this.polling || this.timer !== null) return;
+    const at = Math.max(this.polledAt + this.pace.everyMs, this.attempts.notBefore);
+    this.timer = setTimeout(
+      () => {
+        this.timer = null;
+        void this.poll();
+      },
+      Math.max(0, at - this.now()),
+    );
+  }
+
+  private async poll(): Promise<void> {
+    this.polling = true;
+    this.asked = false;
+    this.polledAt = this.now();
+    await this.take(0);
+    this.polling = false;
+    if (this.from >= 0 && (this.asked || this.wanted > this.from)) this.schedule();
+  }
+
+  private async take(blockMs: number): Promise<void> {
+    const sentAt = this.now();
+    const r = await this.source.changes(this.from, blockMs);
+    if (r === 'old') this.from = -1;
+    else if (r === 'busy') this.asked = true;
+    else if (r === null) {
+      this.attempts.fail(this.now());
+      if (blockMs === 0) this.events.read(sentAt, null);
+    } else {
+      this.attempts.ok();
+      if (this.from >= 0) this.from = Math.max(this.from, r.epoch);
+      this.events.changed(r.changes, r.epoch);
+      this.events.read(sentAt, r.epoch);
+    }
+  }
+
+  private sleep(ms: number): Promise<void> {
+    return new Promise((resolve) => setTimeout(resolve, ms));
+  }
+
+  /** Ends early when somebody asks. */
+  private pause(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      const done = (): void => {
+        clearTimeout(timer);
+        this.wake = null;
+        resolve();
+      };
+      const timer = setTimeout(done, ms);
+      this.wake = done;
+    });
+  }
+}
--- a/src/users/server.ts
+++ b/src/users/server.ts
@@ -1,7 +1,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Command } from '../core/effects.js';
+import type { Limits } from '../limits/index.js';
 import { parseReport } from '../wire/worker.js';
 import { jobPath, parseSubmission, withdrawEnd } from '../wire/user.js';
+import { Connections, type Peer } from './connections.js';
 
 const mostBody = 64 * 1024;
 
@@ -10,17 +12,22 @@
   private readonly pending = new Map<number, ServerResponse>();
   private count = 0;
   readonly server: Server;
+  private readonly connections: Connections;
 
   constructor(
     private readonly push: (c: Command) => void,
     private readonly healthy: () => boolean,
-    maxConnections: number,
+    private readonly sockets: Pick<Limits['sockets'], 'most' | 'comfortable'>,
+    /** Workers come again within this time, ms. */
+    reportMs: number,
   ) {
+    this.connections = new Connections(reportMs * 2);
     this.server = createServer(
       { keepAliveTimeout: 120_000, requestTimeout: 10_000, headersTimeout: 10_000 },
       (req, res) => this.serve(req, res),
     );
-    this.server.maxConnections = maxConnections;
+    this.server.maxConnections = sockets.most;
+    this.server.on('connection', (socket) => this.connections.opened(socket, performance.now()));
     this.server.on('clientError', (_, socket) => {
       if (socket.writable)
         socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
@@ -28,7 +35,13 @@
     });
   }
 
-  answer(rid: number, status: number, body: object, retryAfterS?: number): void {
+  /** Closes what is needed least where there are too many connections; how many are open. */
+  tend(now: number): number {
+    this.connections.trim(this.sockets.comfortable, now);
+    return this.connections.size;
+  }
+
+  answer(rid: number, status: number, body: object | string, retryAfterS?: number): void {
     const res = this.pending.get(rid);
     if (!res) return;
     this.pending.delete(rid);
@@ -39,6 +52,7 @@
     const path = (req.url ?? '').split('?', 1)[0];
     const method = req.method ?? '';
     const part = path.split('/');
+    this.note(req, res, path);
     if (path === '/healthz') {
       if (!allow(method, 'GET', res)) return;
       return reply(res, this.healthy() ? 200 : 503, {});
@@ -70,6 +84,13 @@
     reply(res, 404, { error: 'not found' });
   }
 
+  private note(req: IncomingMessage, res: ServerResponse, path: string): void {
+    const peer: Peer = path === '/healthz' ? 'probe' : path === '/checkin' ? 'worker' : 'user';
+    const { socket } = req;
+    this.connections.used(socket, peer, performance.now());
+    res.on('close', () => this.connections.answered(socket, performance.now()));
+  }
+
   private keep(res: ServerResponse): number {
     const rid = ++this.count;
     this.pending.set(rid, res);
@@ -120,9 +141,9 @@
   return false;
 }
 
-function reply(res: ServerResponse, status: number, body: object, retryAfterS?: number): void {
+function reply(res: ServerResponse, status: number, body: object | string, retryAfterS?: number): void {
   if (res.headersSent || res.destroyed) return;
-  const text = JSON.stringify(body);
+  const text = typeof body === 'string' ? body : JSON.stringify(body);
   const headers: Record<string, string | number> = {
     'Content-Type': 'application/json',
     'Content-Length': Buffer.byteLength(text),
--- /dev/null
+++ b/src/vouching/index.ts
@@ -0,0 +1,2 @@
+export { Recent } from './recent.js';
+export { Vouching, type Question } from './vouching.js';
--- /dev/null
+++ b/src/vouching/vouching.ts
@@ -0,0 +1,67 @@
+/** What a controller asks the others: what do you know that is newer than this revision? */
+export interface Question {
+  nonce: number;
+  epoch: number;
+}
+
+interface Peer {
+  /** The process that speaks for this member, and when it was first heard, ms. */
+  run: string;
+  since: number;
+  /** The newest question of ours that it has answered. */
+  answered: number;
+}
+
+const mostAsked = 16;
+
+/**
+ * Lets a controller go on answering workers while the state service answers nobody. A reading of the state's revision
+ * proves that the view holds all that any controller had told anybody when the reading was asked for. So does this: every
+ * other controller, asked at that moment, hands over all that it knows and the view lacks.
+ *
+ * What a process knew is lost with it. So a process counts only if it was heard before the view was last known to be
+ * complete: whatever its predecessor told is in the view then.
+ */
+export class Vouching {
+  private readonly peers = new Map<string, Peer>();
+  private asked: { nonce: number; at: number }[] = [];
+  private nonce = 0;
+  private askedAt = -Infinity;
+
+  constructor(
+    private readonly members: readonly string[],
+    private readonly everyMs: number,
+  ) {}
+
+  heard(member: string, run: string, now: number): void {
+    if (this.peers.get(member)?.run !== run) this.peers.set(member, { run, since: now, answered: 0 });
+  }
+
+  /** A new question, if it is time for one. */
+  ask(now: number, epoch: number): Question | null {
+    if (now - this.askedAt < this.everyMs) return null;
+    this.askedAt = now;
+    this.asked.push({ nonce: ++this.nonce, at: now });
+    // Answers to older ones prove too little to be worth keeping them.
+    this.asked = this.asked.slice(-mostAsked);
+    return { nonce: this.nonce, epoch };
+  }
+
+  /**
+   * A peer has handed over all that it knew, and the view holds it by now. Returns the moment up to which the view is
+   * known to be complete by that, or null. `completeAt`: the moment up to which it was known to be before.
+   */
+  answered(member: string, run: string, nonce: number, completeAt: number): number | null {
+    const p = this.peers.get(member);
+    if (p?.run !== run) return null;
+    p.answered = Math.max(p.answered, nonce);
+    let oldest = this.nonce;
+    for (const m of this.members) {
+      const peer = this.peers.get(m);
+      // Guards against the restarted peer: what its predecessor told since the view was complete, it does not know.
+      if (!peer || peer.since > completeAt) return null;
+      oldest = Math.min(oldest, peer.answered);
+    }
+    return this.asked.find((q) => q.nonce === oldest)?.at ?? null;
+  }
+}
--- a/src/workers/workers.ts
+++ b/src/workers/workers.ts
@@ -3,14 +3,20 @@
 import type { Order } from '../model/report.js';
 import { ordersOut } from '../wire/worker.js';
 
-const timeoutMs = 2000;
-
 /**
  * Orders sent straight to workers. Only stops go this way: they may be carried out late, and a late stop of
  * an attempt harms nothing, while a late start could run a task twice.
  */
 export class Workers {
-  private readonly agent = new Agent({ keepAlive: false });
+  private readonly agent: Agent;
+
+  constructor(
+    private readonly timeoutMs: number,
+    /** So many at once; the others wait, and are given up like those that get no answer. */
+    mostSockets: number,
+  ) {
+    this.agent = new Agent({ keepAlive: false, maxTotalSockets: mostSockets });
+  }
 
   async order(endpoint: string, token: number, session: number, orders: Order[]): Promise<boolean> {
     const r = await callOnce(
@@ -19,7 +25,7 @@
       'POST',
       '/orders',
       ordersOut(token, session, orders),
-      timeoutMs,
+      this.timeoutMs,
     );
     return r?.status === 200;
   }
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -16,7 +16,8 @@
       if ('rid' in c) front.answer(c.rid, 503, {}, 7);
     },
     () => got.length === 0,
-    50,
+    { most: 50, comfortable: 40 },
+    100,
   );
   front.server.listen(0, '127.0.0.1');
   await once(front.server, 'listening');
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -424,12 +424,13 @@
   const w = new World(2);
   up(w);
   w.play(5);
+  w.talk = false;
   w.nodes[1].cut = true;
   w.play(20);
   assert.equal(w.nodes[1].controller.healthy, true);
   w.nodes[0].submit(spec('req-1'));
-  w.nodes[1].push({ c: 'pulse', epoch: w.state.epoch });
-  w.play(1);
+  w.talk = true;
+  w.play(2);
   assert.equal(w.nodes[1].controller.healthy, false);
   w.nodes[1].cut = false;
   w.play(10);
@@ -443,10 +444,15 @@
   const frame = encodeFrame({ relayed: { id: 7, status: 200, body: '{"x":"ä"}' } });
   const reader = new FrameReader();
   assert.deepEqual(reader.push(frame.subarray(0, 3)), []);
-  const got = reader.push(Buffer.concat([frame.subarray(3), encodeFrame({ pulse: { epoch: 2 ** 40 } })]));
+  const got = reader.push(
+    Buffer.concat([
+      frame.subarray(3),
+      encodeFrame({ pulse: { epoch: 2 ** 40, run: 'a', busy: 7, front: true } }),
+    ]),
+  );
   assert.deepEqual(got, [
     { relayed: { id: 7, status: 200, body: '{"x":"ä"}' } },
-    { pulse: { epoch: 2 ** 40 } },
+    { pulse: { epoch: 2 ** 40, run: 'a', busy: 7, front: true } },
   ]);
   assert.throws(() => reader.push(Buffer.from('ffffffff00', 'hex')));
   assert.throws(() => new FrameReader().push(Buffer.from('00000003ffffff', 'hex')));
--- a/test/scale.test.ts
+++ b/test/scale.test.ts
@@ -123,11 +123,23 @@
   assert.equal(w.nodes[0].submit(spec('req-1'))?.status, 201);
 });
 
+test('a flood of submissions does not keep tasks from starting, nor rentals from being recorded', () => {
+  const w = new World(1);
+  w.play(3);
+  const n = w.nodes[0];
+  for (let i = 0; i < 400; i++) n.push({ c: 'submit', rid: 1e6 + i, spec: spec(`req-${i}`, { tasks: 1 }) });
+  w.play(1);
+  // 400 writes take the budget of some 11 s.
+  assert.ok(w.playUntil(() => w.starts.length > 0, 9));
+  assert.ok([...w.nodes[0].answers.values()].filter((a) => a.status === 201).length < 380);
+});
+
 test('an overtaken answer of the state service does not bring a dropped key back', () => {
   const r = new Replica({
     jobChanged: () => undefined,
     machineChanged: () => undefined,
     shardChanged: () => undefined,
+    weighty: () => undefined,
   });
   const put = { key: 'dp/m/n-1', data: { f: 'box', y: 'north', l: false, s: 0, st: 'use', at: 0 }, stamp: 5 };
   r.load([], 1);
@@ -141,6 +153,7 @@
     jobChanged: () => undefined,
     machineChanged: () => undefined,
     shardChanged: () => undefined,
+    weighty: () => undefined,
   });
   const block = (h: string[]) => ({ f: 'box', y: 'north', l: false, s: 0, at: 0, h });
   const own = { f: 'box', y: 'north', l: false, s: 0, st: 'dead', at: 0 };
--- a/test/world.ts
+++ b/test/world.ts
@@ -10,6 +10,7 @@
 import type { JobSpec } from '../src/model/job.js';
 import type { MachineType } from '../src/model/machine.js';
 import type { Order, Report, TaskReport } from '../src/model/report.js';
+import { seeded } from '../src/retry/index.js';
 import type { Change, Txn } from '../src/wire/store.js';
 
 export const settingsText = (member: string, nodes: number): string => `
@@ -166,11 +167,16 @@
   alive = true;
   /** Cut off from the state service: it gets no answers and sees no changes. */
   cut = false;
+  /** It gets 429 from the state service. */
+  throttled = false;
+  /** It and the other controllers do not reach each other. */
+  apart = false;
   /** It stands still while its clock runs on: what arrives waits. */
   frozen = false;
   /** Changes of the state reach it again only some time after it woke: first comes what had waited. */
   private newsAt = 0;
   private followed = -1;
+  private readFrom = 0;
   answers = new Map<number, { status: number; body: Record<string, unknown>; retryAfterS?: number }>();
   private runs = 0;
   /** Called instead of handing on a commit's outcome, if set. */
@@ -185,12 +191,14 @@
 
   boot(): void {
     this.alive = true;
+    this.readFrom = this.world.now;
     this.queue = [];
     this.followed = -1;
     this.controller = new Controller(
       this.settings,
       this.operators,
       `${this.member}r${++this.runs}`,
+      seeded(this.world.seed + this.runs),
       () => undefined,
     );
   }
@@ -206,7 +214,11 @@
       this.newsAt = this.world.now + 300;
       return;
     }
-    if (!this.cut && !s.down && this.world.now >= this.newsAt) {
+    // Reading takes its time and begins anew when it is interrupted; what is watched goes on.
+    const off = this.cut || s.down || (this.throttled && this.followed < 0);
+    if (off && this.followed < 0) this.readFrom = this.world.now;
+    const read = this.followed >= 0 || this.world.now >= this.readFrom + this.world.readMs;
+    if (!off && read && this.world.now >= this.newsAt) {
       if (this.followed < 0) this.push({ c: 'loaded', items: s.items(), epoch: s.epoch });
       else if (this.followed < s.epoch)
         this.push({ c: 'changes', changes: s.log.filter((c) => c.stamp > this.followed), epoch: s.epoch });
@@ -217,7 +229,7 @@
     const controller = this.controller;
     for (const e of controller.step(commands, { now: this.world.now, wall: 1e12 + this.world.now })) {
       const reply = (c: Command | null) =>
-        this.world.after(5, () => {
+        this.world.after(this.world.answerMs, () => {
           if (c && this.alive && this.controller === controller) this.queue.push(c);
         });
       this.carryOut(e, reply);
@@ -226,7 +238,7 @@
 
   private carryOut(e: Effect, reply: (c: Command | null) => void): void {
     const w = this.world;
-    const off = this.cut || w.state.down;
+    const off = this.cut || w.state.down || this.throttled;
     switch (e.e) {
       case 'answer':
         this.answers.set(e.rid, {
@@ -237,6 +249,7 @@
         break;
       case 'commit': {
         if (this.cut) return reply({ c: 'committed', outcome: { r: 'refused' } });
+        if (this.throttled) return reply({ c: 'committed', outcome: { r: 'busy' } });
         const outcome = w.state.commit(e.txn);
         w.commits.push({ member: this.member, txn: e.txn, outcome });
         reply({ c: 'committed', outcome: w.state.loseAnswers ? { r: 'unknown' } : outcome });
@@ -302,7 +315,8 @@
       case 'relay': {
         const to = w.nodes.find((n) => n.member === e.to);
         const id = ++w.rids;
-        if (!to?.alive) return reply({ c: 'relayed', rid: e.rid, status: 503, body: {} });
+        if (!to?.alive || this.apart || to.apart)
+          return reply({ c: 'relayed', rid: e.rid, status: 503, body: {} });
         to.push({ c: 'checkin', rid: id, report: e.report, from: this.member });
         w.after(30, () => {
           const a = to.answers.get(id);
@@ -310,12 +324,33 @@
         });
         break;
       }
-      case 'catch-up':
       case 'pulse':
+        this.tellPeers((to) => to.push({ c: 'pulse', from: this.member, pulse: e.pulse }));
+        break;
+      case 'ask':
+        this.tellPeers((to) => to.push({ c: 'asked', from: this.member, nonce: e.nonce, epoch: e.epoch }));
+        break;
+      case 'vouch': {
+        const { nonce, known } = e;
+        const vouched = { c: 'vouched', from: this.member, run: this.run, nonce, known } as const;
+        this.tellPeers((to) => to.member === e.to && to.push(vouched));
+        break;
+      }
+      case 'catch-up':
         break;
     }
   }
 
+  private get run(): string {
+    return `${this.member}r${this.runs}`;
+  }
+
+  private tellPeers(tell: (to: Node) => void): void {
+    if (!this.world.talk || this.apart) return;
+    for (const n of this.world.nodes)
+      if (n !== this && !n.apart) this.world.after(5, () => n.alive && tell(n));
+  }
+
   private actsAsLeader(what: string): void {
     const lead = this.world.state.keys.get('dp/lead')?.data as { member: string } | undefined;
     if (lead?.member !== this.member) this.world.broken.push(`stale ${what} by ${this.member}`);
@@ -332,6 +367,7 @@
   }
   submit = (job: JobSpec) => {
     if (job.shape === 'service') this.world.endless.add(job.id);
+    if (job.shape === 'gang') this.world.gangs.set(job.id, job.tasks);
     return this.ask((rid) => ({ c: 'submit', rid, spec: job }));
   };
   status = (id: string) => this.ask((rid) => ({ c: 'query', rid, id }));
@@ -351,6 +387,8 @@
   tasks = new Map<string, Running>();
   noticeS: number | null = null;
   silent = false;
+  /** The machine hangs: nothing goes on, and what is due is done when it does again. */
+  hung = false;
   /** Controllers that it cannot reach. */
   readonly cutFrom = new Set<string>();
   sick = false;
@@ -359,6 +397,9 @@
   private at: number;
   private target = 0;
   readonly bornAt: number;
+  /** When it last got an answer it could use, and the longest time without, ms. */
+  answeredAt: number;
+  gapMs = 0;
   constructor(
     readonly world: World,
     readonly host: string,
@@ -366,7 +407,7 @@
     readonly zone: string,
     readonly spot: boolean,
   ) {
-    this.bornAt = this.leaseFrom = world.now;
+    this.bornAt = this.leaseFrom = this.answeredAt = world.now;
     this.at = world.now + 1000;
   }
 
@@ -386,14 +427,46 @@
     };
   }
 
+  /** A task gets its image; one of a gang then waits for the others of its attempt. */
+  private wait(t: Running): void {
+    const { report } = t;
+    const w = this.world;
+    const gang = w.gangs.get(report.job);
+    if (report.phase === 'fetching' && w.now - t.since > w.fetchS * 1000)
+      report.phase = gang === undefined ? 'running' : 'waiting';
+    if (report.phase !== 'waiting') return;
+    let there = 0;
+    for (const x of w.workers.values())
+      for (const o of x.tasks.values())
+        if (o.report.job === report.job && o.report.attempt === report.attempt)
+          if (o.report.phase === 'waiting' || o.report.phase === 'running') there++;
+    if (there < gang!) return;
+    report.phase = 'running';
+    t.since = w.now;
+  }
+
+  /** Its lease has ended: all that it had is gone. */
+  forget(): void {
+    this.tasks.clear();
+    this.session++;
+    this.leaseFrom = this.world.now;
+    this.at = this.world.now;
+  }
+
+  /** Whom it reports to. */
+  get node(): Node {
+    return this.world.nodes[this.target % this.world.nodes.length];
+  }
+
   /** Things that go on without any controller. */
   live(): void {
     const w = this.world;
     if (w.now - this.leaseFrom > w.leaseMs) {
-      this.tasks.clear();
-      this.session++;
-      this.leaseFrom = w.now;
+      const { at } = this;
+      this.forget();
+      this.at = at;
     }
+    for (const t of this.tasks.values()) this.wait(t);
     for (const t of this.tasks.values())
       if (
         t.report.phase === 'running' &&
@@ -408,10 +481,11 @@
 
   step(): void {
     const w = this.world;
+    if (this.hung) return;
     this.live();
     if (this.silent || w.now < this.at) return;
     this.at = w.now + w.reportMs;
-    const node = w.nodes[this.target % w.nodes.length];
+    const { node } = this;
     if (!node.alive || this.cutFrom.has(node.member)) {
       this.target++;
       this.at = w.now + 1000;
@@ -428,7 +502,8 @@
     const w = this.world;
     const a = node.answers.get(rid);
     node.answers.delete(rid);
-    if (this.silent || session !== this.session) return;
+    if (this.silent || this.hung || session !== this.session) return;
+    this.gapMs = Math.max(this.gapMs, w.now - this.answeredAt);
     if (a?.status !== 200) {
       const boss = w.nodes.findIndex((n) => n.member === a?.body['boss']);
       this.target = boss >= 0 && w.nodes[boss] !== node ? boss : this.target + 1;
@@ -443,6 +518,7 @@
     if (body.baton > this.token) this.at = Math.min(this.at, w.now + 500);
     this.token = body.baton;
     this.leaseFrom = sentAt;
+    this.answeredAt = w.now;
     this.execute(
       body.orders.map((o) => {
         const [job, index] = o.piece.split('/');
@@ -456,7 +532,7 @@
   }
 
   execute(orders: Order[], token: number): void {
-    if (token < this.token) return;
+    if (token < this.token || this.hung) return;
     for (const o of orders) {
       const piece = `${o.job}/${o.index}`;
       const t = this.tasks.get(piece);
@@ -467,7 +543,7 @@
           job: o.job,
           index: o.index,
           attempt: o.attempt,
-          phase: 'running',
+          phase: this.world.fetchS > 0 ? 'fetching' : 'running',
           why: null,
           saved: false,
         };
@@ -498,6 +574,10 @@
   readonly rentals: { name: string; type: string; zone: string; spot: boolean; count: number }[] = [];
   readonly deleted: string[] = [];
   readonly finished: string[] = [];
+  /** Gangs, and how many tasks each has. */
+  readonly gangs = new Map<string, number>();
+  /** How long a task waits for its image. */
+  fetchS = 0;
   /** Services: their tasks never complete. */
   readonly endless = new Set<string>();
   /** Jobs submitted with a mistake: their tasks fail on every machine. */
@@ -509,13 +589,21 @@
   types: MachineType[] = [box];
   capacity = 10;
   cloudDown = false;
+  /** Controllers reach each other. */
+  talk = true;
+  /** What the controllers' random numbers come from. */
+  readonly seed: number;
   rids = 1_000_000;
+  /** How long an answer of the state service or the cloud takes, and the first reading of the state. */
+  answerMs = 5;
+  readMs = 0;
   leaseMs = 16_000;
   reportMs = 2000;
   private later: { at: number; fn: () => void }[] = [];
   private hosts = 0;
 
-  constructor(nodes = 1, operators: Partial<Operators> = {}) {
+  constructor(nodes = 1, operators: Partial<Operators> = {}, seed = 1) {
+    this.seed = seed;
     for (let i = 0; i < nodes; i++) {
       const settings = parseSettings(settingsText(`n${i}`, nodes));
       this.nodes.push(new Node(this, `n${i}`, settings, { ...defaults, ...operators }));
