A question to the other controllers names the process that asks; machines still to be proven are named

Cause: read again, the exchange let a late answer to a question of a controller's earlier process, or one with a number not asked yet, count for the present one. Change: question and answer carry the asking process; other numbers count for nothing. A shard that is not proven within its bound says which machines are missing. Ruled out: random first numbers (only makes it unlikely).

--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -14,6 +14,9 @@
 import { Reports } from './reports.js';
 import { View } from './view.js';
 
+/** So many machines are named in a log line at most. */
+const mostNamed = 8;
+
 /**
  * The one owner of all state of a process. Commands go in by batches, effects come out; given the same
  * commands, clock readings and random numbers, the effects are the same.
@@ -186,14 +189,22 @@
     if (now - this.checkedAt < this.membership.ttlMs / 16) return;
     this.checkedAt = now;
     const { dispatcher, recovery } = this;
+    const { unproven } = dispatcher;
     const t = recovery.step(now, {
       read: this.replica.epoch >= 0,
       present: this.membership.present,
       owned: dispatcher.owned.size,
-      unproven: dispatcher.unproven,
+      unproven: unproven.length,
       placed: dispatcher.books.placed,
     });
     if (t) this.log('info', 'recovery', { ...t, keys: this.replica.size });
+    if (recovery.overdue(now))
+      this.log('warn', 'machines still to be proven', {
+        machines: unproven.length,
+        some: unproven
+          .slice(0, mostNamed)
+          .map((m) => ({ host: m.host, heardMs: m.heardAt && now - m.heardAt })),
+      });
     const r = recovery.recovered(now);
     if (r) this.log(r.late ? 'warn' : 'info', r.late ? 'recovered late' : 'recovered', { ...r });
   }
@@ -235,11 +246,10 @@
         if (c.pulse.epoch > this.replica.epoch) out.push({ e: 'catch-up', epoch: c.pulse.epoch });
         break;
       case 'asked':
-        this.neighbours.asked(c.from, c.nonce, c.epoch, out);
+        this.neighbours.asked(c.from, c.question, out);
         break;
       case 'vouched':
-        if (c.known !== null)
-          this.view.vouched(this.neighbours.vouched(c.from, c.run, c.nonce, c.known, this.view.completeAt));
+        this.view.vouched(this.neighbours.vouched(c.from, c.run, c.question, c.known, this.view.completeAt));
         break;
       case 'reading':
         this.log('info', 'reading state', { keys: c.keys });
--- a/src/core/dispatcher.ts
+++ b/src/core/dispatcher.ts
@@ -33,7 +33,6 @@
   private summedAt = 0;
   /** When a shard was last taken up, ms. */
   tookUpAt = -Infinity;
-  /** Machines that held tasks when their shard was taken up and have not been proven yet. */
   private readonly toProve = new Set<MachineRun>();
 
   constructor(
@@ -87,11 +86,12 @@
       }
   }
 
-  get unproven(): number {
+  /** Machines that held tasks when their shard was taken up and have neither reported nor gone since. */
+  get unproven(): readonly MachineRun[] {
     for (const m of this.toProve)
       if (m.provenAt > 0 || m.placements.size === 0 || this.machines.get(m.host) !== m)
         this.toProve.delete(m);
-    return this.toProve.size;
+    return [...this.toProve];
   }
 
   private isMine(shard: number): boolean {
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -1,6 +1,7 @@
 import type { JobSpec } from '../model/job.js';
 import type { MachineType } from '../model/machine.js';
 import type { Order, Report } from '../model/report.js';
+import type { Question } from '../vouching/index.js';
 import type { ListedMachine, RentRequest } from '../wire/cloud.js';
 import type { Change, Txn } from '../wire/store.js';
 
@@ -24,9 +25,9 @@
   | { c: 'checkin'; rid: number; report: Report; from?: string }
   | { c: 'relayed'; rid: number; status: number; body: object | string }
   | { c: 'pulse'; from: string; pulse: Pulse }
-  /** What a peer wants to know, and what another has answered us; null: it cannot tell. */
-  | { c: 'asked'; from: string; nonce: number; epoch: number }
-  | { c: 'vouched'; from: string; run: string; nonce: number; known: Change[] | null }
+  /** What a peer wants to know, and what another has answered us. */
+  | { c: 'asked'; from: string; question: Question }
+  | { c: 'vouched'; from: string; run: string; question: Question; known: Change[] }
   /** What the process has been doing lately: share of its time, connections that are open. */
   | { c: 'load'; busy: number; connections: number }
   /** A peer's connection broke and a new one was refused at once. */
@@ -68,8 +69,8 @@
   /** Hand a worker's report to the controller that owns its machine; its answer comes as 'relayed'. */
   | { e: 'relay'; to: string; rid: number; report: Report }
   | { e: 'pulse'; pulse: Pulse }
-  | { e: 'ask'; nonce: number; epoch: number }
-  | { e: 'vouch'; to: string; nonce: number; known: Change[] }
+  | { e: 'ask'; question: Question }
+  | { e: 'vouch'; to: string; question: Question; known: Change[] }
   | { e: 'lease'; ttlMs: number }
   | { e: 'renew'; hold: number }
   | { e: 'unlease'; hold: number }
--- a/src/core/neighbours.ts
+++ b/src/core/neighbours.ts
@@ -1,6 +1,6 @@
 import type { Settings } from '../config/settings.js';
 import type { Operators } from '../config/operators.js';
-import { Recent, Vouching } from '../vouching/index.js';
+import { Recent, Vouching, type Question } from '../vouching/index.js';
 import type { Change } from '../wire/store.js';
 import type { Clock, Effect, Pulse } from './effects.js';
 import type { Replica } from './replica.js';
@@ -35,7 +35,7 @@
   ) {
     const members = settings.peers.map((p) => p.member);
     // Several questions fit into the time for which one answer is good.
-    this.vouching = new Vouching(members, Math.min(ttlMs / 4, operators['grant-s'] * 50));
+    this.vouching = new Vouching(run, members, Math.min(ttlMs / 4, operators['grant-s'] * 50));
   }
 
   noteWeighty(change: Change): void {
@@ -87,17 +87,17 @@
 
   ask(out: Effect[]): void {
     const q = this.vouching.ask(this.clock.now, this.replica.epoch);
-    if (q) out.push({ e: 'ask', ...q });
+    if (q) out.push({ e: 'ask', question: q });
   }
 
-  asked(from: string, nonce: number, epoch: number, out: Effect[]): void {
-    const known = this.replica.epoch < 0 ? null : this.recent.since(epoch);
-    if (known) out.push({ e: 'vouch', to: from, nonce, known });
+  asked(from: string, question: Question, out: Effect[]): void {
+    const known = this.replica.epoch < 0 ? null : this.recent.since(question.epoch);
+    if (known) out.push({ e: 'vouch', to: from, question, known });
   }
 
   /** The moment up to which the view is known to be complete by a peer's answer, ms, or null. */
-  vouched(from: string, run: string, nonce: number, known: Change[], completeAt: number): number | null {
+  vouched(from: string, run: string, to: Question, known: Change[], completeAt: number): number | null {
     for (const change of known) this.replica.apply(change);
-    return this.vouching.answered(from, run, nonce, completeAt);
+    return this.vouching.answered(from, run, to, completeAt);
   }
 }
--- a/src/peers/frames.ts
+++ b/src/peers/frames.ts
@@ -1,6 +1,7 @@
 import protobuf from 'protobufjs/light.js';
 import type { Pulse } from '../core/effects.js';
 import type { ExitWhy, Report, TaskPhase } from '../model/report.js';
+import type { Question } from '../vouching/index.js';
 
 /**
  * What controllers tell each other: one protobuf message a frame, behind its length as a 32-bit number.
@@ -69,11 +70,17 @@
       },
     },
     /** What do you know above this revision? */
-    Ask: { fields: { nonce: { type: 'uint32', id: 1 }, epoch: { type: 'double', id: 2 } } },
+    Ask: {
+      fields: {
+        nonce: { type: 'uint32', id: 1 },
+        epoch: { type: 'double', id: 2 },
+        run: { type: 'string', id: 3 },
+      },
+    },
     /** All of it, as JSON. */
     Vouch: {
       fields: {
-        nonce: { type: 'uint32', id: 1 },
+        ask: { type: 'Ask', id: 1 },
         run: { type: 'string', id: 2 },
         known: { type: 'string', id: 3 },
       },
@@ -100,8 +107,8 @@
   | { relay: { id: number; report: Report } }
   | { relayed: { id: number; status: number; body: string } }
   | { pulse: Pulse }
-  | { ask: { nonce: number; epoch: number } }
-  | { vouch: { nonce: number; run: string; known: string } };
+  | { ask: Question }
+  | { vouch: { ask: Question; run: string; known: string } };
 
 interface RawTask {
   job: string;
@@ -169,12 +176,12 @@
     return { pulse: { epoch, run, busy, front } };
   }
   if (f['ask']) {
-    const { nonce, epoch } = f['ask'] as { nonce: number; epoch: number };
-    return { ask: { nonce, epoch } };
+    const { nonce, epoch, run } = f['ask'] as Question;
+    return { ask: { nonce, epoch, run } };
   }
   if (f['vouch']) {
-    const { nonce, run, known } = f['vouch'] as { nonce: number; run: string; known: string };
-    return { vouch: { nonce, run, known } };
+    const { ask, run, known } = f['vouch'] as { ask: Question | null; run: string; known: string };
+    return ask ? { vouch: { ask: { nonce: ask.nonce, epoch: ask.epoch, run: ask.run }, run, known } } : null;
   }
   return null;
 }
--- a/src/recovery/recovery.ts
+++ b/src/recovery/recovery.ts
@@ -56,6 +56,7 @@
   private ownedAt: number | null = null;
   private firstPlacementMs: number | null = null;
   private reported = false;
+  private overdueTold = false;
 
   /** `boundMs`: so long after it began to own a shard, all machines should be proven. */
   constructor(private readonly boundMs: number) {}
@@ -64,6 +65,7 @@
     if (facts.owned === 0) {
       this.ownedAt = null;
       this.reported = false;
+      this.overdueTold = false;
     } else this.ownedAt ??= now;
     if (this.firstPlacementMs === null && facts.placed > 0) this.firstPlacementMs = now;
     const to = phaseOf(facts);
@@ -74,6 +76,13 @@
     return t;
   }
 
+  /** Once for each time that a shard was taken up and not all of it was proven within the bound. */
+  overdue(now: number): boolean {
+    if (this.phase !== 'proving' || this.overdueTold || this.ownedAt === null) return false;
+    this.overdueTold = now - this.ownedAt > this.boundMs;
+    return this.overdueTold;
+  }
+
   /** Once for each time that a shard was taken up and all of it is proven. */
   recovered(now: number): Recovered | null {
     if (this.phase !== 'serving' || this.reported || this.ownedAt === null) return null;
--- a/src/service.ts
+++ b/src/service.ts
@@ -125,11 +125,11 @@
     } else if ('relayed' in frame) {
       const { id, status, body } = frame.relayed;
       this.push({ c: 'relayed', rid: id, status, body });
-    } else if ('ask' in frame) this.push({ c: 'asked', from, ...frame.ask });
+    } else if ('ask' in frame) this.push({ c: 'asked', from, question: frame.ask });
     else if ('vouch' in frame) {
-      const { nonce, run, known } = frame.vouch;
+      const { ask: question, run, known } = frame.vouch;
       try {
-        this.push({ c: 'vouched', from, run, nonce, known: JSON.parse(known) as Change[] });
+        this.push({ c: 'vouched', from, run, question, known: JSON.parse(known) as Change[] });
       } catch (e) {
         this.log('warn', 'bad message from a peer', { from, error: String((e as Error).message) });
       }
@@ -167,12 +167,11 @@
         for (const p of this.settings.peers) this.mesh?.send(p.member, { pulse: e.pulse });
         break;
       case 'ask':
-        for (const p of this.settings.peers)
-          this.mesh?.send(p.member, { ask: { nonce: e.nonce, epoch: e.epoch } });
+        for (const p of this.settings.peers) this.mesh?.send(p.member, { ask: e.question });
         break;
       case 'vouch': {
         const known = JSON.stringify(e.known);
-        this.mesh?.send(e.to, { vouch: { nonce: e.nonce, run: this.run, known } });
+        this.mesh?.send(e.to, { vouch: { ask: e.question, run: this.run, known } });
         break;
       }
       case 'answer': {
--- a/src/vouching/vouching.ts
+++ b/src/vouching/vouching.ts
@@ -1,5 +1,7 @@
 /** What a controller asks the others: what do you know that is newer than this revision? */
 export interface Question {
+  /** The process that asks. */
+  run: string;
   nonce: number;
   epoch: number;
 }
@@ -29,6 +31,7 @@
   private askedAt = -Infinity;
 
   constructor(
+    private readonly run: string,
     private readonly members: readonly string[],
     private readonly everyMs: number,
   ) {}
@@ -44,17 +47,18 @@
     this.asked.push({ nonce: ++this.nonce, at: now });
     // Answers to older ones prove too little to be worth keeping them.
     this.asked = this.asked.slice(-mostAsked);
-    return { nonce: this.nonce, epoch };
+    return { run: this.run, nonce: this.nonce, epoch };
   }
 
   /**
    * A peer has handed over all that it knew, and the view holds it by now. Returns the moment up to which the view is
    * known to be complete by that, or null. `completeAt`: the moment up to which it was known to be before.
    */
-  answered(member: string, run: string, nonce: number, completeAt: number): number | null {
+  answered(member: string, run: string, to: Question, completeAt: number): number | null {
     const p = this.peers.get(member);
-    if (p?.run !== run) return null;
-    p.answered = Math.max(p.answered, nonce);
+    // Guards against the late answer to a question of our own predecessor, whose view and whose numbers were others.
+    if (p?.run !== run || to.run !== this.run || to.nonce > this.nonce) return null;
+    p.answered = Math.max(p.answered, to.nonce);
     let oldest = this.nonce;
     for (const m of this.members) {
       const peer = this.peers.get(m);
--- a/test/recovery.test.ts
+++ b/test/recovery.test.ts
@@ -60,19 +60,24 @@
 });
 
 test('vouching: every peer, the same process as before, and all it knows', () => {
-  const v = new Vouching(['b', 'c'], 100);
+  const v = new Vouching('a1', ['b', 'c'], 100);
+  const q = (nonce: number, run = 'a1') => ({ run, nonce, epoch: 7 });
   v.heard('b', 'b1', 10);
   v.heard('c', 'c1', 10);
-  assert.deepEqual(v.ask(1000, 7), { nonce: 1, epoch: 7 });
+  assert.deepEqual(v.ask(1000, 7), { run: 'a1', nonce: 1, epoch: 7 });
   assert.equal(v.ask(1050, 7), null);
-  assert.equal(v.answered('b', 'b1', 1, 500), null);
-  assert.equal(v.answered('c', 'c1', 1, 500), 1000);
+  assert.equal(v.answered('b', 'b1', q(1), 500), null);
+  assert.equal(v.answered('c', 'c1', q(1), 500), 1000);
+  // Answers to questions that this process did not ask count for nothing.
+  v.ask(1100, 7);
+  for (const n of [q(2, 'a0'), q(9)]) assert.equal(v.answered('b', 'b1', n, 1000), null);
+  assert.equal(v.answered('c', 'c1', q(2), 1000), 1000);
   v.heard('c', 'c2', 1200);
   v.ask(1300, 7);
-  assert.equal(v.answered('c', 'c2', 2, 1000), null);
-  assert.equal(v.answered('b', 'b1', 2, 1000), null);
+  assert.equal(v.answered('c', 'c2', q(3), 1000), null);
+  assert.equal(v.answered('b', 'b1', q(3), 1000), null);
   // Once the view was complete after the new process was heard, it counts.
-  assert.equal(v.answered('c', 'c2', 2, 1250), 1300);
+  assert.equal(v.answered('c', 'c2', q(3), 1250), 1300);
   const r = new Recent(4);
   assert.equal(r.since(5), null);
   r.readUpTo(5);
--- a/test/world.ts
+++ b/test/world.ts
@@ -328,11 +328,11 @@
         this.tellPeers((to) => to.push({ c: 'pulse', from: this.member, pulse: e.pulse }));
         break;
       case 'ask':
-        this.tellPeers((to) => to.push({ c: 'asked', from: this.member, nonce: e.nonce, epoch: e.epoch }));
+        this.tellPeers((to) => to.push({ c: 'asked', from: this.member, question: e.question }));
         break;
       case 'vouch': {
-        const { nonce, known } = e;
-        const vouched = { c: 'vouched', from: this.member, run: this.run, nonce, known } as const;
+        const { question, known } = e;
+        const vouched = { c: 'vouched', from: this.member, run: this.run, question, known } as const;
         this.tellPeers((to) => to.member === e.to && to.push(vouched));
         break;
       }
