--- a/src/core/reports.ts
+++ b/src/core/reports.ts
@@ -31,7 +31,10 @@
   private readonly redirected = new Map<string, number>();
   /** Reports handed on to their owner, by request, and when, ms. */
   private readonly relays = new Map<number, number>();
-  private load: Load = { busy: 0, connections: 0, machines: 0 };
+  private load: Load = { busy: 0, connections: 0, machines: 0, shared: 0 };
+  /** Reports since the load was last measured, and how many of them came through others. */
+  private count = 0;
+  private relayedCount = 0;
   private helped = false;
   private sentAway = 0;
   /** Since the last look at how the shards are served. */
@@ -80,6 +83,8 @@
     this.redirected.delete(report.host);
     // Somebody came under a newer token: we are the stale owner and do not know it yet.
     if (report.token > custodian.token) return answer(421, redirectOut(null));
+    this.count++;
+    if (from !== null) this.relayedCount++;
     if (from === null) this.direct++;
     else this.through.set(from, (this.through.get(from) ?? 0) + 1);
     if (m.shard < 0) {
@@ -88,22 +93,21 @@
     }
     const run = this.dispatcher.machines.get(m.host);
     if (!run) return answer(503, {}, 1);
-    if (from === null && this.mayGo(report.token === custodian.token)) {
-      const to = helper(this.neighbours.helpers());
-      if (to !== null) {
-        this.sentAway++;
-        return answer(421, redirectOut(to));
-      }
-    }
+    const to = from === null && report.token === custodian.token ? this.elseTo() : null;
+    if (to !== null) return answer(421, redirectOut(to));
     this.fleet.heardFrom(m.host);
     const orders = this.dispatcher.checkins.checkin(run, report, custodian.token);
     answer(200, answerOut(custodian.token, orders));
   }
 
-  /** Whether a worker is to report through another controller from now on. One that has yet to be proven is not. */
-  private mayGo(proven: boolean): boolean {
+  /** Through whom a worker is to report from now on, or null. Only one that has been proven may go. */
+  private elseTo(): string | null {
     const most = Math.max(1, this.dispatcher.machines.size * sentAwayShare);
-    return this.helped && proven && this.sentAway < most && sendsAway(this.load, this.limits.own);
+    if (!this.helped || this.sentAway >= most) return null;
+    const to = helper(this.neighbours.helpers());
+    if (to === null || !sendsAway(this.load, this.limits.own, to.busy)) return null;
+    this.sentAway++;
+    return to.member;
   }
 
   private elsewhere(rid: number, report: Report, m: Machine, from: string | null, out: Effect[]): void {
@@ -134,7 +138,9 @@
 
   /** What the process has been doing lately. */
   measured(busy: number, connections: number): void {
-    this.load = { busy, connections, machines: this.dispatcher.machines.size };
+    const shared = this.count > 0 ? this.relayedCount / this.count : 0;
+    this.load = { busy, connections, machines: this.dispatcher.machines.size, shared };
+    this.count = this.relayedCount = 0;
     this.sentAway = 0;
     const helped = this.dispatcher.owned.size > 0 && wantsHelp(this.helped, this.load, this.limits.own);
     if (helped === this.helped) return;
--- a/src/memory.ts
+++ b/src/memory.ts
@@ -1,3 +1,4 @@
+import { readFileSync } from 'node:fs';
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
 import type { Log } from './core/effects.js';
@@ -5,6 +6,7 @@
 
 /** A collection that was asked for costs much: so long after one none is asked for again. */
 const restMs = 20_000;
+const pageKb = 4;
 
 /**
  * Keeps what the process holds below what the settings give it. The engine takes its own limit from the command line,
@@ -18,21 +20,22 @@
   constructor(
     private readonly limits: Limits['memory'],
     private readonly log: Log,
+    private readonly heldMb: () => number = ownMb,
   ) {}
 
   /** Whether only what is needed most should be taken in now. */
   look(now: number): boolean {
-    let held = heldMb();
+    let held = this.heldMb();
     if (held > this.limits.collectMb && now - this.collectedAt > restMs) {
       this.collectedAt = now;
       this.collector()();
       const before = held;
-      held = heldMb();
+      held = this.heldMb();
       this.log('info', 'memory collected', { before: Math.round(before), after: Math.round(held) });
     }
     const tight = held > this.limits.tightMb;
     if (tight !== this.tight)
-      this.log('warn', tight ? 'memory is short' : 'memory is enough again', { held });
+      this.log('warn', tight ? 'memory is short' : 'memory is enough again', { held: Math.round(held) });
     this.tight = tight;
     return tight;
   }
@@ -46,4 +49,13 @@
   }
 }
 
-const heldMb = (): number => process.memoryUsage.rss() / 1024 / 1024;
+/** What the process holds itself, without the program's pages, which all processes of a machine share. */
+function ownMb(): number {
+  try {
+    const [, resident, shared] = readFileSync('/proc/self/statm', 'latin1').split(' ').map(Number);
+    return ((resident - shared) * pageKb) / 1024;
+  } catch {
+    const { heapTotal, external } = process.memoryUsage();
+    return (heapTotal + external) / 1024 / 1024;
+  }
+}
--- a/src/recovery/recovery.ts
+++ b/src/recovery/recovery.ts
@@ -35,8 +35,9 @@
 }
 
 export interface Recovered {
-  /** From owning a shard to all of its machines proven, ms. */
+  /** From owning a shard to all of its machines proven, ms, and to all but a few of them: the dead take longest. */
   provenMs: number;
+  mostProvenMs: number;
   /** From the start of the process to its first placement, ms; null: nothing was placed yet. */
   firstPlacementMs: number | null;
   late: boolean;
@@ -49,6 +50,9 @@
   return f.unproven > 0 ? 'proving' : 'serving';
 };
 
+/** Of the machines of a shard, so many may be gone or cut off without the start counting as late. */
+const fewShare = 0.05;
+
 /** Follows a process through the phases and keeps the times. Times are since the process began, ms. */
 export class Recovery {
   phase: Phase = 'reading';
@@ -57,6 +61,8 @@
   private firstPlacementMs: number | null = null;
   private reported = false;
   private overdueTold = false;
+  private toProve = 0;
+  private mostProvenMs: number | null = null;
 
   /** `boundMs`: so long after it began to own a shard, all machines should be proven. */
   constructor(private readonly boundMs: number) {}
@@ -66,7 +72,13 @@
       this.ownedAt = null;
       this.reported = false;
       this.overdueTold = false;
-    } else this.ownedAt ??= now;
+      this.mostProvenMs = null;
+    } else if (this.ownedAt === null) {
+      this.ownedAt = now;
+      this.toProve = facts.unproven;
+    }
+    if (this.ownedAt !== null && facts.unproven <= this.toProve * fewShare)
+      this.mostProvenMs ??= now - this.ownedAt;
     if (this.firstPlacementMs === null && facts.placed > 0) this.firstPlacementMs = now;
     const to = phaseOf(facts);
     if (to === this.phase) return null;
@@ -88,6 +100,8 @@
     if (this.phase !== 'serving' || this.reported || this.ownedAt === null) return null;
     this.reported = true;
     const provenMs = now - this.ownedAt;
-    return { provenMs, firstPlacementMs: this.firstPlacementMs, late: provenMs > this.boundMs };
+    const mostProvenMs = this.mostProvenMs ?? provenMs;
+    const { firstPlacementMs } = this;
+    return { provenMs, mostProvenMs, firstPlacementMs, late: mostProvenMs > this.boundMs };
   }
 }
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -6,6 +6,7 @@
 import { Intake } from '../src/intake.js';
 import { Lanes } from '../src/lanes/index.js';
 import { limitsOf } from '../src/limits/index.js';
+import { Memory } from '../src/memory.js';
 import { Attempts, pauseMs, retryPolicies, seeded } from '../src/retry/index.js';
 import { Follower } from '../src/state/follower.js';
 import type { Page } from '../src/state/store.js';
@@ -121,6 +122,28 @@
   assert.ok(nulls >= 1);
 });
 
+test('memory: near the limit garbage is collected, not again and again; what still is too much turns requests away', () => {
+  const said: string[] = [];
+  let held = 60;
+  const m = new Memory(
+    { collectMb: 75, tightMb: 85 },
+    (_, what) => said.push(what),
+    () => held,
+  );
+  assert.equal(m.look(0), false);
+  held = 90;
+  assert.equal(m.look(1000), true);
+  assert.equal(m.look(2000), true);
+  held = 80;
+  assert.equal(m.look(30_000), false);
+  assert.deepEqual(said, [
+    'memory collected',
+    'memory is short',
+    'memory collected',
+    'memory is enough again',
+  ]);
+});
+
 test('limits follow the settings, and too many connections lose what is needed least', async () => {
   for (const [mem_mb, fd_limit] of [
     [100, 300],
