--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -5,6 +5,7 @@
 import { join } from 'node:path';
 import type { Log } from '../core/effects.js';
 import { HttpClient } from '../net/client.js';
+import { readJson, replyJson as reply } from '../net/json.js';
 import { pauseMs, type Random, type RetryPolicy } from '../retry/index.js';
 import {
   agentReportOut,
@@ -352,7 +353,7 @@
     if (req.method === 'GET' && url.pathname === '/show')
       return reply(res, 200, agentReportOut(this.worker.report()));
     if (req.method === 'POST' && url.pathname === '/orders') {
-      const o = parseOrders(await bodyOf(req));
+      const o = parseOrders(await readJson(req, mostBody));
       if (!o || o.token === null || o.session === null)
         return reply(res, 400, { error: 'baton and tenure are needed' });
       const effects = this.worker.ordered(o.token, o.session, o.orders);
@@ -384,25 +385,3 @@
     return 'unknown';
   }
 }
-
-async function bodyOf(req: IncomingMessage): Promise<unknown> {
-  const parts: Buffer[] = [];
-  let size = 0;
-  for await (const part of req as AsyncIterable<Buffer>) {
-    size += part.length;
-    if (size > mostBody) return null;
-    parts.push(part);
-  }
-  try {
-    return JSON.parse(Buffer.concat(parts).toString('utf8')) as unknown;
-  } catch {
-    return null;
-  }
-}
-
-function reply(res: ServerResponse, status: number, value: object): void {
-  if (res.headersSent || res.destroyed) return;
-  const text = JSON.stringify(value);
-  res.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text) });
-  res.end(text);
-}
--- a/src/control/api.ts
+++ b/src/control/api.ts
@@ -2,7 +2,7 @@
 import type { JobRecord } from '../core/records.js';
 import { jobStatus } from '../wire/user.js';
 import { parseJoining } from '../wire/agentside.js';
-import { reply } from '../users/server.js';
+import { readJson, replyJson as reply } from '../net/json.js';
 import type { ControlService } from './control.js';
 
 const mostBody = 64 * 1024;
@@ -55,7 +55,7 @@
   }
 
   private async join(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const joining = parseJoining(await bodyOf(req));
+    const joining = parseJoining(await readJson(req, mostBody));
     if (typeof joining === 'string') return reply(res, 400, { error: joining });
     try {
       const r = await this.control.pool.join(joining);
@@ -218,18 +218,3 @@
     ? `its tasks may be running: its lease has surely ended in ${Math.ceil(left)} s; if you know that it is gone: machine forget`
     : 'its lease has ended';
 }
-
-async function bodyOf(req: IncomingMessage): Promise<unknown> {
-  const parts: Buffer[] = [];
-  let size = 0;
-  for await (const part of req as AsyncIterable<Buffer>) {
-    size += part.length;
-    if (size > mostBody) return null;
-    parts.push(part);
-  }
-  try {
-    return JSON.parse(Buffer.concat(parts).toString('utf8')) as unknown;
-  } catch {
-    return null;
-  }
-}
--- /dev/null
+++ b/src/net/json.ts
@@ -0,0 +1,34 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+/** The body of a request as JSON; undefined: too long, or not JSON. */
+export async function readJson(req: IncomingMessage, mostBytes: number): Promise<unknown> {
+  const parts: Buffer[] = [];
+  let size = 0;
+  for await (const part of req as AsyncIterable<Buffer>) {
+    size += part.length;
+    if (size > mostBytes) return undefined;
+    parts.push(part);
+  }
+  try {
+    return JSON.parse(Buffer.concat(parts).toString('utf8')) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Answers with JSON, once; a body that is text already goes out as it is. */
+export function replyJson(
+  res: ServerResponse,
+  status: number,
+  body: object | string,
+  headers: Record<string, string | number> = {},
+): void {
+  if (res.headersSent || res.destroyed) return;
+  const text = typeof body === 'string' ? body : JSON.stringify(body);
+  res.writeHead(status, {
+    'Content-Type': 'application/json',
+    'Content-Length': Buffer.byteLength(text),
+    ...headers,
+  });
+  res.end(text);
+}
--- a/src/store/http.ts
+++ b/src/store/http.ts
@@ -10,6 +10,7 @@
   parseTtl,
   parseTxn,
 } from '../wire/storeside.js';
+import { readJson, replyJson as reply } from '../net/json.js';
 import type { Engine } from './engine.js';
 import { snapshotInto } from './snapshot.js';
 
@@ -32,9 +33,9 @@
   const route = `${req.method ?? ''} ${url.pathname}`;
   const lease = /^(POST|DELETE) \/leases\/(\d+)(\/renew)?$/.exec(route);
   if (engine.broken) return reply(res, 503, { error: engine.broken.message });
-  if (route === 'POST /commit') return commit(engine, await body(req), res);
+  if (route === 'POST /commit') return commit(engine, await readJson(req, mostBody), res);
   if (route === 'POST /leases') {
-    const ttl = parseTtl(await body(req));
+    const ttl = parseTtl(await readJson(req, mostBody));
     if (typeof ttl === 'string') return reply(res, 400, { error: ttl });
     const hold = await engine.lease(ttl);
     return hold === null ? reply(res, 503, { error: 'not written' }) : reply(res, 200, holdOut(hold));
@@ -82,25 +83,3 @@
   if (r === 'old') reply(res, 410, { error: 'too old: read the keys again' });
   else reply(res, 200, changesOut(r.changes, r.epoch));
 }
-
-async function body(req: IncomingMessage): Promise<unknown> {
-  const parts: Buffer[] = [];
-  let size = 0;
-  for await (const part of req as AsyncIterable<Buffer>) {
-    size += part.length;
-    if (size > mostBody) return 'too large';
-    parts.push(part);
-  }
-  try {
-    return JSON.parse(Buffer.concat(parts).toString('utf8')) as unknown;
-  } catch {
-    return undefined;
-  }
-}
-
-function reply(res: ServerResponse, status: number, value: object): void {
-  if (res.headersSent || res.destroyed) return;
-  const text = JSON.stringify(value);
-  res.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text) });
-  res.end(text);
-}
--- a/src/users/server.ts
+++ b/src/users/server.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Command } from '../core/effects.js';
+import { replyJson } from '../net/json.js';
 import type { Limits } from '../limits/index.js';
 import type { Report } from '../model/report.js';
 import { parseReport } from '../wire/worker.js';
@@ -175,20 +176,7 @@
   return false;
 }
 
-export function reply(
-  res: ServerResponse,
-  status: number,
-  body: object | string,
-  retryAfterS?: number,
-): void {
-  if (res.headersSent || res.destroyed) return;
-  const text = typeof body === 'string' ? body : JSON.stringify(body);
-  const headers: Record<string, string | number> = {
-    'Content-Type': 'application/json',
-    'Content-Length': Buffer.byteLength(text),
-  };
+function reply(res: ServerResponse, status: number, body: object | string, retryAfterS?: number): void {
   const after = retryAfterS ?? (status === 503 || status === 429 ? 1 : undefined);
-  if (after !== undefined) headers['Retry-After'] = after;
-  res.writeHead(status, headers);
-  res.end(text);
+  replyJson(res, status, body, after === undefined ? {} : { 'Retry-After': after });
 }
--- a/test/control.test.ts
+++ b/test/control.test.ts
@@ -368,7 +368,7 @@
 
 test('control: service and agents are killed at random during a batch: one end for every task, no attempt twice', () =>
   withSite(async (s) => {
-    const random = seeded(11);
+    const random = seeded(Number(process.env['SOAK_SEED'] ?? 11));
     s.process('control');
     for (const name of ['a', 'b']) s.process(name);
     const jobs = Array.from({ length: 10 }, (_, i) => i + 1);
--- /dev/null
+++ b/test/measure.ts
@@ -0,0 +1,218 @@
+/**
+ * What the control service, its store and its agents do on this machine; not a test. `npm run measure -- store`,
+ * `restart`, `batch`, `kills`. Everything is on loopback and in a fresh directory, and ends by itself.
+ */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { closeSync, fdatasyncSync, mkdtempSync, openSync, rmSync, writeFileSync, writeSync } from 'node:fs';
+import { createServer } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { Agent, parseAgentSettings } from '../src/agent/index.js';
+import { openControl, parseControlSettings } from '../src/control/index.js';
+import { HttpClient } from '../src/net/client.js';
+import { seeded } from '../src/retry/index.js';
+import { Engine, LevelDisk } from '../src/store/index.js';
+
+const quiet = (): undefined => undefined;
+const fatal = (e: Error): never => {
+  throw e;
+};
+const pause = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
+const dir = mkdtempSync(join(tmpdir(), 'dapplepick-measure-'));
+const say = (text: string): void => void process.stdout.write(`${text}\n`);
+const quantile = (list: number[], q: number): number =>
+  list.sort((a, b) => a - b)[Math.min(list.length - 1, Math.floor(list.length * q))];
+
+async function freePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((r) => server.listen(0, '127.0.0.1', () => r()));
+  const { port } = server.address() as { port: number };
+  await new Promise((r) => server.close(r));
+  return port;
+}
+
+async function store(): Promise<void> {
+  const file = openSync(join(dir, 'probe'), 'w');
+  const alone: number[] = [];
+  for (let i = 0; i < 300; i++) {
+    const at = performance.now();
+    writeSync(file, 'x'.repeat(200));
+    fdatasyncSync(file);
+    alone.push(performance.now() - at);
+  }
+  closeSync(file);
+  say(
+    `the disk alone: ${(1000 / (alone.reduce((a, b) => a + b) / 300)).toFixed(0)} syncs a second, p50 ${quantile(alone, 0.5).toFixed(2)} ms`,
+  );
+  for (const writers of [1, 16, 128]) {
+    const engine = await Engine.open(await LevelDisk.open(join(dir, `w${writers}`)), quiet, fatal);
+    const took: number[] = [];
+    const until = performance.now() + 3000;
+    await Promise.all(
+      Array.from({ length: writers }, async (_, w) => {
+        for (let i = 0; performance.now() < until; i++) {
+          const at = performance.now();
+          await engine.commit({
+            when: [],
+            apply: [{ key: `k/${w}/${i % 100}`, data: { i, text: 'x'.repeat(100) } }],
+          });
+          took.push(performance.now() - at);
+        }
+      }),
+    );
+    say(
+      `${writers} writers: ${(took.length / 3).toFixed(0)} commits a second, p50 ${quantile(took, 0.5).toFixed(2)} ms, p99 ${quantile(took, 0.99).toFixed(2)} ms`,
+    );
+    await engine.close();
+  }
+}
+
+const controlText = (port: number): string =>
+  `(control (listen "127.0.0.1:${port}") (directory "${join(dir, 'store')}") (report-s 2) (lease-s 120) (class one (sleep-s 1)))`;
+
+async function agents(n: number, port: number): Promise<Agent[]> {
+  const all: Agent[] = [];
+  for (let i = 0; i < n; i++) {
+    const text = `(agent (name w${i}) (control "127.0.0.1:${port}") (directory "${join(dir, `w${i}`)}") (type t) (cpus 4) (mem-gb 4))`;
+    const a = new Agent(parseAgentSettings(text), seeded(i), quiet);
+    await a.start();
+    all.push(a);
+  }
+  return all;
+}
+
+const job = (id: number, pieces: number): object => ({
+  nameId: `req-${id}`,
+  jobclass: 'one',
+  owner: 'default',
+  shape: 'sweep',
+  urgency: 'normal',
+  pieces,
+  cpus: 1,
+  cards: 0,
+  memGb: 0.1,
+  bundle: 'none',
+  pullGb: 0,
+  oneZone: false,
+  apart: false,
+  loaners: false,
+  expectS: 1,
+  snapshotS: 0,
+  flushS: 0,
+});
+
+const heapMb = (): number => {
+  (globalThis as { gc?: () => void }).gc?.();
+  return process.memoryUsage().heapUsed / 1024 / 1024;
+};
+
+async function restart(): Promise<void> {
+  const engine = await Engine.open(await LevelDisk.open(join(dir, 'store')), quiet, fatal);
+  const jobs = 100_000;
+  for (let i = 0; i < jobs; i += 500)
+    await engine.commit({
+      when: [],
+      apply: Array.from({ length: 500 }, (_, j) => ({
+        key: `dp/j/req-${1e6 + i + j}`,
+        data: { s: 'done', at: 1, n: 1 },
+      })),
+    });
+  await engine.close();
+  const port = await freePort();
+  const settings = parseControlSettings(controlText(port));
+  const before = heapMb();
+  let open = await openControl(settings, quiet, fatal);
+  await open.control.start();
+  const withJobs = heapMb();
+  say(`memory of the service: ${(((withJobs - before) / jobs) * 1024).toFixed(2)} KB for each finished job`);
+  const all = await agents(1000, port);
+  const http = new HttpClient(`127.0.0.1:${port}`, 2);
+  const machines = (): number =>
+    [...open.control.service.controller.dispatcher.machines.values()].filter((m) => m.provenAt > 0).length;
+  while (machines() < 1000) await pause(100);
+  say(
+    `memory of the service and 1,000 agents in one process: ${(((heapMb() - withJobs) * 1024) / 1000).toFixed(1)} KB for each agent`,
+  );
+  await open.close();
+  await pause(1000);
+  const at = performance.now();
+  open = await openControl(settings, quiet, fatal);
+  await open.control.start();
+  await http.call('POST', '/work', job(1, 50), 5000);
+  for (;;) {
+    const r = await http.call('POST', '/work', job(1, 50), 5000);
+    if (r && r.status < 300) break;
+    await pause(20);
+  }
+  say(`restart: accepts ${((performance.now() - at) / 1000).toFixed(2)} s after its start`);
+  const { books } = open.control.service.controller.dispatcher;
+  while (books.placed === 0) await pause(10);
+  say(`restart: first placement ${((performance.now() - at) / 1000).toFixed(2)} s after its start`);
+  while (machines() < 1000) await pause(20);
+  say(
+    `restart: 1,000 agents have reported ${((performance.now() - at) / 1000).toFixed(2)} s after its start`,
+  );
+  for (const a of all) a.stop();
+  await open.close();
+}
+
+async function batch(killEveryS: number | null): Promise<void> {
+  const port = await freePort();
+  const path = join(dir, 'control.scm');
+  writeFileSync(path, controlText(port));
+  const main = fileURLToPath(new URL('../src/main.js', import.meta.url));
+  const log = openSync(join(dir, 'control.log'), 'a');
+  const start = (): ChildProcess =>
+    spawn(process.execPath, [main, 'control', path], { stdio: ['ignore', log, log] });
+  let control = start();
+  const all = await agents(200, port);
+  const http = new HttpClient(`127.0.0.1:${port}`, 2);
+  const seen = async (): Promise<{ done: number; status: string; failed: number } | null> => {
+    const r = await http.call('GET', '/work?limit=1', null, 2000);
+    return r?.status === 200
+      ? (r.body as { jobs: { done: number; status: string; failed: number }[] }).jobs[0]
+      : null;
+  };
+  await pause(6000);
+  const at = performance.now();
+  for (;;) {
+    const r = await http.call('POST', '/work', job(7, 10_000), 5000);
+    if (r && r.status < 300) break;
+    await pause(200);
+  }
+  let kills = 0;
+  for (;;) {
+    await pause(250);
+    if (killEveryS !== null && performance.now() - at > (kills + 1) * killEveryS * 1000) {
+      kills++;
+      control.kill('SIGKILL');
+      control = start();
+    }
+    const s = await seen();
+    if (s?.status === 'done' || performance.now() - at > 150_000) {
+      const tookS = (performance.now() - at) / 1000;
+      say(
+        `10,000 tasks of 1 s on 200 agents of 4 CPUs${killEveryS === null ? '' : `, service killed every ${killEveryS} s (${kills} times)`}: ${s?.status ?? '?'} after ${tookS.toFixed(1)} s, ${(10_000 / tookS).toFixed(0)} a second (800 would be all there is), ${s?.failed ?? '?'} failed`,
+      );
+      break;
+    }
+  }
+  for (const a of all) a.stop();
+  control.kill('SIGKILL');
+}
+
+const what: Record<string, () => Promise<void>> = {
+  store,
+  restart,
+  batch: () => batch(null),
+  kills: () => batch(20),
+};
+const wanted = process.argv[2] ?? '';
+if (!Object.hasOwn(what, wanted)) {
+  say(`measure: expected one of ${Object.keys(what).join(', ')}`);
+  process.exit(1);
+}
+await what[wanted]();
+rmSync(dir, { recursive: true, force: true, maxRetries: 5 });
+process.exit(0);
--- /dev/null
+++ b/test/soak.ts
@@ -0,0 +1,19 @@
+/** Long runs of what the tests do shortly: `npm run soak -- MINUTES SEED`. Not a test; ends by itself. */
+import { spawnSync } from 'node:child_process';
+import { fileURLToPath } from 'node:url';
+
+const minutes = Number(process.argv[2] ?? 10);
+const first = Number(process.argv[3] ?? Date.now() % 100_000);
+const tests = fileURLToPath(new URL('./control.test.js', import.meta.url));
+const until = Date.now() + minutes * 60_000;
+for (let seed = first; Date.now() < until; seed++) {
+  const r = spawnSync(process.execPath, ['--test', '--test-name-pattern', 'killed at random', tests], {
+    env: { ...process.env, SOAK_SEED: String(seed) },
+    encoding: 'utf8',
+  });
+  process.stdout.write(`seed ${seed}: ${r.status === 0 ? 'as it should be' : 'BROKEN'}\n`);
+  if (r.status !== 0) {
+    process.stdout.write(r.stdout);
+    process.exit(1);
+  }
+}
