--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -35,6 +35,7 @@
 const mostBody = 1024 * 1024;
 /** Outputs of tasks that are over are kept for the last so many. */
 const keptOutputs = 2000;
+const pruneEvery = 100;
 
 /** A process that stands for a machine: joins a control service, runs its tasks, reports. */
 export class Agent {
@@ -55,6 +56,7 @@
   private target = 0;
   private failures = 0;
   private soon = false;
+  private forgotten = 0;
   private readonly timers = new Set<NodeJS.Timeout>();
   private stopped = false;
   /** Resolves when the control service has let the agent go: it left in order, or was forgotten. */
@@ -197,10 +199,11 @@
     this.remember();
     this.carryOut(this.worker.tick(performance.now()));
     this.lease.renewed(this.worker.leasedFrom, leaseMs);
-    if (same && this.memory.session === this.self.session && tasks.length > 0)
+    const kept = new Set(this.worker.tasks);
+    if (same)
       for (const r of found) {
         if (r.job) this.jobOf.set(r.task, r.job);
-        if (r.task.phase === 'exited' || ![...this.worker.tasks].includes(r.task)) continue;
+        if (r.task.phase === 'exited' || !kept.has(r.task)) continue;
         this.lease.watch();
         if (r.job && r.task.phase !== 'fetching' && r.task.phase !== 'waiting')
           this.runner.adopt(r, r.job, this.boot);
@@ -285,9 +288,10 @@
         case 'run': {
           const job = this.jobOf.get(e.task);
           if (!job) break;
-          if (job.command) this.lease.watch();
-          if (job.command) this.runner.start(e.task, job, this.self.host!, this.boot);
-          else this.standIns.start(e.task, job);
+          if (job.command) {
+            this.lease.watch();
+            this.runner.start(e.task, job, this.self.host!, this.boot);
+          } else this.standIns.start(e.task, job);
           break;
         }
         case 'stop':
@@ -297,7 +301,8 @@
         case 'forget':
           this.records.forget(e.task);
           this.jobOf.delete(e.task);
-          this.records.prune(keptOutputs);
+          // Looking through all of them costs: not for each task that is over.
+          if (++this.forgotten % pruneEvery === 0) this.records.prune(keptOutputs);
           break;
       }
   }
--- a/src/cli/client.ts
+++ b/src/cli/client.ts
@@ -4,7 +4,7 @@
 import type { Command } from 'commander';
 import { splitAddr } from '../config/settings.js';
 import { HttpClient, type Reply } from '../net/client.js';
-import { jobPath, withdrawEnd } from '../wire/user.js';
+import { jobPath, plainSubmission, withdrawEnd } from '../wire/user.js';
 
 const timeoutMs = 5000;
 /** Exit codes that scripts can use. */
@@ -170,6 +170,7 @@
     env[e.slice(0, at)] = e.slice(at + 1);
   }
   return {
+    ...plainSubmission,
     nameId: newId(),
     jobclass: o.class,
     owner: o.team,
@@ -177,17 +178,7 @@
     urgency: o.urgency,
     pieces: number('tasks', o.tasks),
     cpus: number('cpus', o.cpus),
-    cards: 0,
     memGb: number('mem', o.mem),
-    bundle: 'none',
-    pullGb: 0,
-    oneZone: false,
-    apart: false,
-    loaners: false,
-    expectS: 0,
-    snapshotS: 0,
-    flushS: 0,
-    dueS: null,
     command,
     env,
     dir: o.dir ?? null,
--- a/src/cli/demo.ts
+++ b/src/cli/demo.ts
@@ -1,11 +1,11 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { mkdtempSync, openSync, rmSync, writeFileSync } from 'node:fs';
-import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { HttpClient } from '../net/client.js';
-import { jobPath } from '../wire/user.js';
+import { freePort } from '../net/port.js';
+import { jobPath, plainSubmission } from '../wire/user.js';
 
 const main = fileURLToPath(new URL('../main.js', import.meta.url));
 const limitS = 50;
@@ -17,23 +17,7 @@
   failed: number;
 }
 
-const base = {
-  jobclass: 'demo',
-  owner: 'default',
-  urgency: 'normal',
-  cpus: 1,
-  cards: 0,
-  memGb: 0.1,
-  bundle: 'none',
-  pullGb: 0,
-  oneZone: false,
-  apart: false,
-  loaners: false,
-  expectS: 1,
-  snapshotS: 0,
-  flushS: 0,
-  dueS: null,
-};
+const base = { ...plainSubmission, jobclass: 'demo', owner: 'default', expectS: 1 };
 
 const sweep = (pieces: number, script: string, over: object = {}): object => ({
   ...base,
@@ -64,14 +48,6 @@
   { what: 'two without a command', job: { ...base, shape: 'sweep', pieces: 2 }, failed: 0 },
 ];
 
-async function freePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', () => resolve()));
-  const { port } = server.address() as { port: number };
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
-
 const pause = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
 const say = (text: string): void => void process.stdout.write(`${text}\n`);
 
--- a/src/wire/agentside.ts
+++ b/src/wire/agentside.ts
@@ -1,6 +1,7 @@
 import * as v from 'valibot';
 import { pieceName, splitPiece, type CommandSpec } from '../model/job.js';
 import type { ExitWhy, Order, TaskPhase } from '../model/report.js';
+import { phaseName, whyName } from './worker.js';
 
 /** The worker's side of its protocol: reports out, answers in; and what agents and a control service add to it. */
 
@@ -37,24 +38,6 @@
   tasks: HeldTask[];
 }
 
-const phaseNames: Record<TaskPhase, string> = {
-  fetching: 'pulling',
-  waiting: 'waiting',
-  running: 'running',
-  saving: 'saving',
-  exited: 'exited',
-};
-const whyNames: Record<ExitWhy, string> = {
-  done: 'done',
-  stopped: 'stopped',
-  peers: 'peers',
-  alone: 'alone',
-  error: 'error',
-  full: 'full',
-  busy: 'in_use',
-  unknown: 'unknown',
-};
-
 export const agentReportOut = (r: AgentReport): object => ({
   host: r.host,
   endpoint: r.endpoint,
@@ -68,8 +51,8 @@
   pieces: r.tasks.map((t) => ({
     piece: pieceName(t.job, t.index),
     try: t.attempt,
-    status: phaseNames[t.phase],
-    ...(t.why === null ? {} : { cause: whyNames[t.why] }),
+    status: phaseName(t.phase),
+    ...(t.why === null ? {} : { cause: whyName(t.why) }),
     ...(t.phase === 'exited' ? { stored: t.saved } : {}),
     ...(t.result ? { result: t.result } : {}),
   })),
--- a/src/wire/user.ts
+++ b/src/wire/user.ts
@@ -91,6 +91,23 @@
   return { argv: command, env: env ?? {}, dir, stdout, stderr, wallS, retries: retries ?? 0 };
 }
 
+/** A submission that asks for nothing special: no image, no place, no deadline. What it is and takes comes on top. */
+export const plainSubmission = {
+  urgency: 'normal',
+  cpus: 1,
+  cards: 0,
+  memGb: 0.1,
+  bundle: 'none',
+  pullGb: 0,
+  oneZone: false,
+  apart: false,
+  loaners: false,
+  expectS: 0,
+  snapshotS: 0,
+  flushS: 0,
+  dueS: null,
+};
+
 export const jobPath = '/work';
 export const withdrawEnd = 'withdraw';
 
--- a/src/wire/worker.ts
+++ b/src/wire/worker.ts
@@ -95,22 +95,5 @@
 const nameOf = <T extends string>(table: Record<string, T>, value: T): string =>
   Object.keys(table).find((k) => table[k] === value) ?? value;
 
-/** A report in the form a worker sends it. */
-export const reportOut = (r: Report): object => ({
-  host: r.host,
-  endpoint: r.endpoint,
-  flavour: r.type,
-  yard: r.zone,
-  loaners: r.spot,
-  tenure: r.session,
-  tick: r.seq,
-  baton: r.token,
-  recallS: r.noticeS,
-  pieces: r.tasks.map((t) => ({
-    piece: pieceName(t.job, t.index),
-    try: t.attempt,
-    status: nameOf(phases, t.phase),
-    cause: t.why === null ? null : nameOf(whys, t.why),
-    stored: t.saved,
-  })),
-});
+export const phaseName = (phase: TaskPhase): string => nameOf(phases, phase);
+export const whyName = (why: ExitWhy): string => nameOf(whys, why);
--- a/test/control.test.ts
+++ b/test/control.test.ts
@@ -1,7 +1,6 @@
 import assert from 'node:assert/strict';
 import { spawn, type ChildProcess } from 'node:child_process';
 import { existsSync, mkdtempSync, openSync, readdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
-import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
@@ -10,20 +9,14 @@
 import { Agent, parseAgentSettings } from '../src/agent/index.js';
 import { openControl, parseControlSettings, type OpenControl } from '../src/control/index.js';
 import { HttpClient } from '../src/net/client.js';
+import { freePort } from '../src/net/port.js';
 import { seeded } from '../src/retry/index.js';
+import { plainSubmission } from '../src/wire/user.js';
 
 const main = fileURLToPath(new URL('../src/main.js', import.meta.url));
 const quiet = (): undefined => undefined;
 const pause = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
 
-async function freePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((r) => server.listen(0, '127.0.0.1', () => r()));
-  const { port } = server.address() as { port: number };
-  await new Promise((r) => server.close(r));
-  return port;
-}
-
 interface Task {
   index: number;
   state: string;
@@ -100,22 +93,11 @@
     const note = `echo "$DAPPLEPICK_JOB/$DAPPLEPICK_INDEX $DAPPLEPICK_ATTEMPT" >> ${this.ran}`;
     return {
       nameId: `req-${id}`,
+      ...plainSubmission,
       jobclass: 'c',
       owner: 'default',
       shape: 'sweep',
-      urgency: 'normal',
       pieces: 1,
-      cpus: 1,
-      cards: 0,
-      memGb: 0.1,
-      bundle: 'none',
-      pullGb: 0,
-      oneZone: false,
-      apart: false,
-      loaners: false,
-      expectS: 0,
-      snapshotS: 0,
-      flushS: 0,
       command: ['/bin/sh', '-c', `${note}; sleep 0.1`],
       ...over,
     };
--- a/test/measure.ts
+++ b/test/measure.ts
@@ -4,14 +4,15 @@
  */
 import { spawn, type ChildProcess } from 'node:child_process';
 import { closeSync, fdatasyncSync, mkdtempSync, openSync, rmSync, writeFileSync, writeSync } from 'node:fs';
-import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { Agent, parseAgentSettings } from '../src/agent/index.js';
 import { openControl, parseControlSettings } from '../src/control/index.js';
 import { HttpClient } from '../src/net/client.js';
+import { freePort } from '../src/net/port.js';
 import { seeded } from '../src/retry/index.js';
+import { plainSubmission } from '../src/wire/user.js';
 import { Engine, LevelDisk } from '../src/store/index.js';
 
 const quiet = (): undefined => undefined;
@@ -24,14 +25,6 @@
 const quantile = (list: number[], q: number): number =>
   list.sort((a, b) => a - b)[Math.min(list.length - 1, Math.floor(list.length * q))];
 
-async function freePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((r) => server.listen(0, '127.0.0.1', () => r()));
-  const { port } = server.address() as { port: number };
-  await new Promise((r) => server.close(r));
-  return port;
-}
-
 async function store(): Promise<void> {
   const file = openSync(join(dir, 'probe'), 'w');
   const alone: number[] = [];
@@ -84,22 +77,12 @@
 
 const job = (id: number, pieces: number): object => ({
   nameId: `req-${id}`,
+  ...plainSubmission,
   jobclass: 'one',
   owner: 'default',
   shape: 'sweep',
-  urgency: 'normal',
   pieces,
-  cpus: 1,
-  cards: 0,
-  memGb: 0.1,
-  bundle: 'none',
-  pullGb: 0,
-  oneZone: false,
-  apart: false,
-  loaners: false,
   expectS: 1,
-  snapshotS: 0,
-  flushS: 0,
 });
 
 const heapMb = (): number => {
