--- /dev/null
+++ b/src/agent/agent.ts
@@ -0,0 +1,408 @@
+import { randomBytes } from 'node:crypto';
+import { createReadStream, existsSync, readFileSync } from 'node:fs';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { join } from 'node:path';
+import type { Log } from '../core/effects.js';
+import { HttpClient } from '../net/client.js';
+import { pauseMs, type Random, type RetryPolicy } from '../retry/index.js';
+import {
+  agentReportOut,
+  parseAgentJob,
+  parseAnswer,
+  parseBoss,
+  parseJoined,
+  parseOrders,
+  type AgentJob,
+  type HeldTask,
+  type Joined,
+  type TaskResult,
+} from '../wire/agentside.js';
+import { Records, type AgentRecord } from './records.js';
+import { Runner } from './runner.js';
+import type { AgentSettings } from './settings.js';
+import { StandIns } from './standins.js';
+import { Lease } from './lease.js';
+import { Worker, type WorkerEffect, type WorkerMemory } from './worker.js';
+
+/** Answers that come later are given up (the protocol's limit). */
+const answerMs = 4000;
+/** Reports follow each other at least so far apart. */
+const leastMs = 500;
+const seqBlock = 10_000;
+const tickMs = 100;
+const mostBody = 1024 * 1024;
+/** Outputs of tasks that are over are kept for the last so many. */
+const keptOutputs = 2000;
+
+/** A process that stands for a machine: joins a control service, runs its tasks, reports. */
+export class Agent {
+  private readonly records: Records;
+  private readonly self: AgentRecord;
+  private readonly runner: Runner;
+  private readonly standIns: StandIns;
+  private readonly server: Server;
+  private readonly clients: HttpClient[];
+  private readonly boot: string;
+  private readonly lease: Lease;
+  /** Descriptions of jobs that tasks here are of. */
+  private readonly jobs = new Map<string, Promise<AgentJob | null | 'unknown'>>();
+  private readonly jobOf = new Map<HeldTask, AgentJob>();
+  private worker: Worker | null = null;
+  private joined: Joined | null = null;
+  private memory: WorkerMemory = { session: 1, seq: 0, token: 0 };
+  private target = 0;
+  private failures = 0;
+  private soon = false;
+  private readonly timers = new Set<NodeJS.Timeout>();
+  private stopped = false;
+  /** Resolves when the control service has let the agent go: it left in order, or was forgotten. */
+  readonly released: Promise<string>;
+  private release: (why: string) => void = () => undefined;
+
+  constructor(
+    private readonly settings: AgentSettings,
+    private readonly random: Random,
+    private readonly log: Log,
+  ) {
+    this.released = new Promise((resolve) => (this.release = resolve));
+    this.records = new Records(settings.directory);
+    const known = this.records.loadSelf();
+    this.self = known ?? { id: randomBytes(8).toString('hex'), host: null, session: 1, token: 0, seqFrom: 0 };
+    if (!known) this.records.saveSelf(this.self);
+    this.boot = bootId();
+    this.lease = new Lease(settings.directory, this.boot);
+    this.clients = settings.controls.map((addr) => new HttpClient(addr, 2));
+    const events = {
+      ended: (task: HeldTask, result: TaskResult, saved: boolean) => this.ended(task, result, saved),
+    };
+    const { outputBytes, graceS, lookMs } = settings;
+    this.runner = new Runner(
+      this.records,
+      { outputBytes, graceS, lookMs, agentId: this.self.id },
+      events,
+      log,
+    );
+    this.standIns = new StandIns(random, events);
+    this.server = createServer((req, res) => {
+      this.serve(req, res).catch((e: unknown) => reply(res, 500, { error: String((e as Error).message) }));
+    });
+  }
+
+  async start(): Promise<void> {
+    const at = this.settings.listen;
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(at.port, at.host, () => resolve());
+    });
+    void this.run();
+  }
+
+  /** Ends the agent; what it runs goes on, for the next start to find. */
+  stop(): void {
+    this.stopped = true;
+    for (const t of this.timers) clearTimeout(t);
+    this.runner.close();
+    this.standIns.close();
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private get endpoint(): string {
+    const { port } = this.server.address() as AddressInfo;
+    return `${this.settings.listen.host}:${port}`;
+  }
+
+  private pause(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => {
+        this.timers.delete(timer);
+        resolve();
+      }, ms);
+      this.timers.add(timer);
+    });
+  }
+
+  private get retry(): RetryPolicy {
+    const report = (this.joined?.reportS ?? 2) * 1000;
+    return { firstMs: report / 4, longestMs: report * 8, factor: 2, jitter: 0.5, deadlineMs: answerMs };
+  }
+
+  // ---- joining ----
+
+  private async run(): Promise<void> {
+    while (!this.stopped && !(await this.join()))
+      await this.pause(pauseMs(this.retry, ++this.failures, this.random));
+    if (this.stopped) return;
+    this.failures = 0;
+    const ticker = setInterval(() => this.carryOut(this.worker!.tick(performance.now())), tickMs);
+    this.timers.add(ticker);
+    while (!this.stopped) {
+      const sentAt = performance.now();
+      const after = await this.checkin();
+      if (this.soon) {
+        this.soon = false;
+        await this.pause(Math.max(0, leastMs - (performance.now() - sentAt)));
+      } else await this.untilNews(after);
+    }
+  }
+
+  /** Waits, but not when there is something to tell. */
+  private async untilNews(ms: number): Promise<void> {
+    const until = performance.now() + ms;
+    await this.pause(Math.min(ms, leastMs));
+    while (!this.stopped && !this.soon && performance.now() < until)
+      await this.pause(Math.min(tickMs, Math.max(1, until - performance.now())));
+    this.soon = false;
+  }
+
+  private async join(): Promise<boolean> {
+    const { name, type, zone, cpus, gpus, memGb, attrs } = this.settings;
+    const body = { id: this.self.id, name, type, zone, cpus, gpus, memGb, attrs };
+    const r = await this.clients[this.target].call('POST', '/agents', body, answerMs);
+    const joined = r?.status === 200 ? parseJoined(r.body) : null;
+    if (!joined) {
+      if (r) this.log('warn', 'not let in', { status: r.status, body: r.body });
+      this.target = (this.target + 1) % this.clients.length;
+      return false;
+    }
+    this.joined = joined;
+    this.takeUp(joined);
+    return true;
+  }
+
+  /** Goes on with what the records tell, if the control service still knows this machine by that name. */
+  private takeUp(joined: Joined): void {
+    const same = this.self.host === joined.host;
+    const leaseMs = joined.leaseS * 1000;
+    const tasks: HeldTask[] = [];
+    const found = this.records.load();
+    if (same) this.memory = { session: this.self.session, seq: this.self.seqFrom, token: this.self.token };
+    else this.memory = { session: this.self.session + 1, seq: this.self.seqFrom, token: 0 };
+    for (const r of found) {
+      if (!same) this.records.forget(r.task);
+      else tasks.push(r.task);
+    }
+    this.self.host = joined.host;
+    const identity = {
+      host: joined.host,
+      endpoint: this.endpoint,
+      type: this.settings.type,
+      zone: this.settings.zone,
+    };
+    // The lease went on while this process was not there.
+    const leasedFrom = same ? this.lease.leasedFrom(leaseMs) : performance.now();
+    this.worker = new Worker(identity, this.memory, leaseMs, leasedFrom, tasks);
+    this.remember();
+    this.carryOut(this.worker.tick(performance.now()));
+    this.lease.renewed(this.worker.leasedFrom, leaseMs);
+    if (same && this.memory.session === this.self.session && tasks.length > 0)
+      for (const r of found) {
+        if (r.job) this.jobOf.set(r.task, r.job);
+        if (r.task.phase === 'exited' || ![...this.worker.tasks].includes(r.task)) continue;
+        this.lease.watch();
+        if (r.job && r.task.phase !== 'fetching' && r.task.phase !== 'waiting')
+          this.runner.adopt(r, r.job, this.boot);
+        else this.carryOut([{ e: 'prepare', task: Object.assign(r.task, { phase: 'fetching' as const }) }]);
+      }
+    this.runner.sweepOrphans();
+    this.log('info', 'joined', { host: joined.host, session: this.memory.session, tasks: tasks.length });
+  }
+
+  // ---- reporting ----
+
+  /** One report; how long to wait until the next, ms. */
+  private async checkin(): Promise<number> {
+    const worker = this.worker!;
+    const { session } = worker;
+    const sentAt = performance.now();
+    const report = worker.report();
+    if (report.seq >= this.self.seqFrom) this.remember();
+    const r = await this.clients[this.target].call('POST', '/checkin', agentReportOut(report), answerMs);
+    const reportMs = this.joined!.reportS * 1000;
+    if (r?.status === 200) {
+      this.failures = 0;
+      const answer = parseAnswer(r.body);
+      if (answer) this.carryOut(worker.answered(answer, sentAt, session));
+      this.lease.renewed(worker.leasedFrom, this.joined!.leaseS * 1000);
+      return reportMs * (0.75 + 0.5 * this.random());
+    }
+    if (r?.status === 410) {
+      this.leave(String((r.body as { error?: unknown } | null)?.error ?? 'forgotten'));
+      return reportMs;
+    }
+    const boss = r?.status === 421 ? parseBoss(r.body) : null;
+    const at = boss === null ? -1 : this.settings.controlNames.indexOf(boss);
+    if (at >= 0 && at !== this.target) {
+      this.target = at;
+      return 0;
+    }
+    this.target = (this.target + 1) % this.clients.length;
+    return pauseMs(this.retry, ++this.failures, this.random);
+  }
+
+  private leave(why: string): void {
+    this.log('warn', 'let go', { why });
+    this.carryOut(this.worker!.newSession(performance.now()));
+    this.self.host = null;
+    this.records.saveSelf(this.self);
+    this.release(why);
+    this.stop();
+  }
+
+  private remember(): void {
+    const { session, token, seq } = this.memory;
+    Object.assign(this.self, { session, token, seqFrom: seq + seqBlock });
+    this.records.saveSelf(this.self);
+  }
+
+  private ended(task: HeldTask, result: TaskResult, saved: boolean): void {
+    const why = result.reason === 'stopped' ? 'stopped' : result.exit === 0 ? 'done' : 'error';
+    this.carryOut(this.worker!.exited(task, why, result, saved));
+    this.saveTask(task);
+  }
+
+  private saveTask(task: HeldTask): void {
+    const job = this.jobOf.get(task) ?? null;
+    this.records.save({ task, job, startedAt: 0, startedUptimeS: 0, boot: this.boot });
+  }
+
+  // ---- what the worker wants ----
+
+  private carryOut(effects: readonly WorkerEffect[]): void {
+    for (const e of effects)
+      switch (e.e) {
+        case 'soon':
+          this.soon = true;
+          break;
+        case 'remember':
+          this.remember();
+          break;
+        case 'prepare':
+          void this.prepare(e.task);
+          break;
+        case 'run': {
+          const job = this.jobOf.get(e.task);
+          if (!job) break;
+          if (job.command) this.lease.watch();
+          if (job.command) this.runner.start(e.task, job, this.self.host!, this.boot);
+          else this.standIns.start(e.task, job);
+          break;
+        }
+        case 'stop':
+          if (this.standIns.has(e.task)) this.standIns.stop(e.task, e.graceS);
+          else this.runner.stop(e.task, e.graceS);
+          break;
+        case 'forget':
+          this.records.forget(e.task);
+          this.jobOf.delete(e.task);
+          this.records.prune(keptOutputs);
+          break;
+      }
+  }
+
+  /** Gets the description of a task's job and looks whether there is room for it. */
+  private async prepare(task: HeldTask): Promise<void> {
+    const worker = this.worker!;
+    for (let tries = 1; task.phase === 'fetching' && !this.stopped; tries++) {
+      const job = await this.describe(task.job);
+      if (job === 'unknown') return this.carryOut(worker.exited(task, 'unknown', null, false));
+      if (job) {
+        if (!this.hasRoom(task, job)) return this.carryOut(worker.exited(task, 'full', null, false));
+        this.jobOf.set(task, job);
+        return this.carryOut(worker.prepared(task, job.gang));
+      }
+      await this.pause(pauseMs(this.retry, tries, this.random));
+    }
+  }
+
+  private async describe(id: string): Promise<AgentJob | null | 'unknown'> {
+    let asked = this.jobs.get(id);
+    if (!asked) {
+      asked = this.clients[this.target].call('GET', `/work/${id}/job`, null, answerMs).then((r) => {
+        if (r?.status === 404) return 'unknown';
+        return r?.status === 200 ? parseAgentJob(r.body) : null;
+      });
+      this.jobs.set(id, asked);
+      // Kept while tasks of it are likely to come; an answer that was none is not kept.
+      const seen = await asked;
+      if (seen === null || seen === 'unknown' || this.jobs.size > 1000) this.jobs.delete(id);
+      return seen;
+    }
+    return asked;
+  }
+
+  private hasRoom(task: HeldTask, job: AgentJob): boolean {
+    const left = { cpus: this.settings.cpus, gpus: this.settings.gpus, memGb: this.settings.memGb };
+    for (const t of this.worker!.tasks) {
+      const j = t === task ? job : t.phase === 'exited' ? null : this.jobOf.get(t);
+      if (!j) continue;
+      left.cpus -= j.cpus;
+      left.gpus -= j.gpus;
+      left.memGb -= j.memGb;
+    }
+    return Math.min(left.cpus, left.gpus, left.memGb) >= -1e-6;
+  }
+
+  // ---- requests ----
+
+  private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const url = new URL(req.url ?? '/', 'http://agent');
+    if (!this.worker) return reply(res, 503, { error: 'not joined yet' });
+    if (req.method === 'GET' && url.pathname === '/show')
+      return reply(res, 200, agentReportOut(this.worker.report()));
+    if (req.method === 'POST' && url.pathname === '/orders') {
+      const o = parseOrders(await bodyOf(req));
+      if (!o || o.token === null || o.session === null)
+        return reply(res, 400, { error: 'baton and tenure are needed' });
+      const effects = this.worker.ordered(o.token, o.session, o.orders);
+      if (effects) this.carryOut(effects);
+      return reply(res, effects ? 200 : 409, agentReportOut(this.worker.report()));
+    }
+    if (req.method === 'GET' && url.pathname === '/output') return this.output(url.searchParams, res);
+    reply(res, 404, { error: 'not found' });
+  }
+
+  private output(q: URLSearchParams, res: ServerResponse): void {
+    const job = q.get('job') ?? '';
+    const index = Number(q.get('index'));
+    const attempt = Number(q.get('attempt'));
+    const stream = q.get('stream') === 'stderr' ? 'stderr' : 'stdout';
+    if (!/^[\w-]+$/.test(job) || !Number.isInteger(index) || !Number.isInteger(attempt))
+      return reply(res, 400, { error: 'job, index and attempt are needed' });
+    const path = join(this.records.dirOf({ job, index, attempt }), stream);
+    if (!existsSync(path)) return reply(res, 404, { error: 'no output of that attempt here' });
+    res.writeHead(200, { 'Content-Type': 'text/plain; charset=utf-8' });
+    createReadStream(path).pipe(res);
+  }
+}
+
+function bootId(): string {
+  try {
+    return readFileSync('/proc/sys/kernel/random/boot_id', 'latin1').trim();
+  } catch {
+    return 'unknown';
+  }
+}
+
+async function bodyOf(req: IncomingMessage): Promise<unknown> {
+  const parts: Buffer[] = [];
+  let size = 0;
+  for await (const part of req as AsyncIterable<Buffer>) {
+    size += part.length;
+    if (size > mostBody) return null;
+    parts.push(part);
+  }
+  try {
+    return JSON.parse(Buffer.concat(parts).toString('utf8')) as unknown;
+  } catch {
+    return null;
+  }
+}
+
+function reply(res: ServerResponse, status: number, value: object): void {
+  if (res.headersSent || res.destroyed) return;
+  const text = JSON.stringify(value);
+  res.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text) });
+  res.end(text);
+}
--- /dev/null
+++ b/src/agent/index.ts
@@ -0,0 +1,3 @@
+export { Agent } from './agent.js';
+export { parseAgentSettings, type AgentSettings } from './settings.js';
+export { Worker, type WorkerEffect } from './worker.js';
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,11 +1,15 @@
-import { readFileSync } from 'node:fs';
+import { existsSync, readFileSync } from 'node:fs';
 import { Command } from 'commander';
 import { defaults, loadOperators, type Operators } from '../config/operators.js';
 import { loadSettings, SettingsError, type Settings } from '../config/settings.js';
 
 const version = (): string => {
-  const text = readFileSync(new URL('../../package.json', import.meta.url), 'utf8');
-  return (JSON.parse(text) as { version: string }).version;
+  // Built for tests, the program lies deeper.
+  for (let at = new URL('../', import.meta.url); ; at = new URL('../', at)) {
+    const path = new URL('package.json', at);
+    if (existsSync(path)) return (JSON.parse(readFileSync(path, 'utf8')) as { version: string }).version;
+    if (at.pathname === '/') return '0';
+  }
 };
 
 function fail(message: string): never {
@@ -56,7 +60,14 @@
       const listed = Object.entries(o).map(([k, x]) => `  (${k} ${x})`);
       process.stdout.write(`${settings.member}: settings are valid\n(dapplepick\n${listed.join('\n')})\n`);
     });
-  const { addClientCommands } = await import('./client.js');
-  addClientCommands(program, fail);
+  if (argv[2] !== '--config') {
+    // Plain `run` loads none of it.
+    const [{ addClientCommands }, { addPrograms }] = await Promise.all([
+      import('./client.js'),
+      import('./programs.js'),
+    ]);
+    addClientCommands(program, fail);
+    addPrograms(program, fail);
+  }
   await program.parseAsync(argv);
 }
--- a/src/cloud/cloud.ts
+++ b/src/cloud/cloud.ts
@@ -12,8 +12,17 @@
 
 const pageItems = 500;
 
+/** The cloud as the core needs it, or what stands in its place. */
+export interface CloudService {
+  types(): Promise<MachineType[] | null>;
+  rent(request: RentRequest): Promise<{ hosts: string[] } | 'none' | 'refused' | 'unknown'>;
+  /** True: the machines, and all that was on them, are gone. */
+  delete(hosts: string[]): Promise<boolean>;
+  list(): Promise<ListedMachine[] | null>;
+}
+
 /** The cloud as the core sees it. Its rate is kept by the core. */
-export class Cloud {
+export class Cloud implements CloudService {
   private readonly client: HttpClient;
 
   constructor(
--- a/src/config/operators.ts
+++ b/src/config/operators.ts
@@ -1,5 +1,5 @@
-import { createRequire } from 'node:module';
 import { readFileSync } from 'node:fs';
+import { readForms } from './forms.js';
 import { SettingsError } from './settings.js';
 
 /**
@@ -41,41 +41,17 @@
 
 export type Operators = Record<keyof typeof defaults, number>;
 
-interface Form {
-  type: string;
-  content: string | Form[];
-  location?: { start: { line: number } };
-}
-
 export function parseOperators(text: string, origin = 'operators'): Operators {
-  const load = createRequire(import.meta.url);
-  const { parse } = load('sexpr-plus') as { parse: (text: string) => Form[] };
-  let forms: Form[];
-  try {
-    forms = parse(text);
-  } catch (e) {
-    throw new SettingsError(
-      `${origin}: not a valid S-expression: ${String((e as Error).message).split('\n')[0]}`,
-    );
-  }
   const out: Operators = { ...defaults };
-  if (forms.length === 0) return out;
-  const top = forms[0];
-  const items = Array.isArray(top.content) ? top.content : [];
-  if (forms.length !== 1 || top.type !== 'list' || items[0]?.content !== 'dapplepick')
-    throw new SettingsError(`${origin}: expected one form (dapplepick (NAME VALUE) ...)`);
-  for (const item of items.slice(1)) {
-    const line = item.location?.start.line ?? 0;
-    const pair = Array.isArray(item.content) ? item.content : [];
-    const key = pair[0]?.content;
-    if (pair.length !== 2 || typeof key !== 'string')
-      throw new SettingsError(`${origin}: line ${line}: expected (NAME VALUE)`);
-    if (!Object.hasOwn(defaults, key))
-      throw new SettingsError(`${origin}: line ${line}: ${key}: unknown setting`);
-    const value = Number(pair[1].content);
-    if (pair[1].type !== 'atom' || !Number.isFinite(value) || value < 0)
-      throw new SettingsError(`${origin}: line ${line}: ${key}: must be a number of at least 0`);
-    out[key as keyof Operators] = value;
+  for (const { name, line, values } of readForms(text, origin, 'dapplepick')) {
+    const [value] = values;
+    if (values.length !== 1) throw new SettingsError(`${origin}: line ${line}: expected (NAME VALUE)`);
+    if (!Object.hasOwn(defaults, name))
+      throw new SettingsError(`${origin}: line ${line}: ${name}: unknown setting`);
+    const n = typeof value === 'string' ? Number(value) : NaN;
+    if (!Number.isFinite(n) || n < 0)
+      throw new SettingsError(`${origin}: line ${line}: ${name}: must be a number of at least 0`);
+    out[name as keyof Operators] = n;
   }
   for (const key of ['round-s', 'hazard-step-s', 'move-window-s', 'grant-s', 'node-lease-ratio'] as const)
     if (out[key] <= 0) throw new SettingsError(`${origin}: ${key}: must be above 0`);
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -79,6 +79,8 @@
   state: SettingsFile['deployment']['state'];
   cloud: SettingsFile['deployment']['cloud'];
   quota: { cores: number; mem_mb: number; fd_limit: number };
+  /** Machines join and leave by themselves: none is rented, and none given back unless it left or was forgotten. */
+  pool?: boolean;
 }
 
 export function parseSettings(text: string, origin = 'settings'): Settings {
--- /dev/null
+++ b/src/control/books.ts
@@ -0,0 +1,23 @@
+import type { CommitOutcome } from '../core/effects.js';
+import type { Change, Txn } from '../wire/store.js';
+
+/** What the control service keeps beside the core's records, wherever the store is. */
+export interface Kv {
+  commit(txn: Txn): Promise<CommitOutcome>;
+  /** All keys under a prefix; null: no answer. */
+  list(prefix: string): Promise<Change[] | null>;
+}
+
+/** A commit that did not go through; whoever asked for it is told to come again. */
+export class NotWritten extends Error {}
+
+/** Puts keys, whatever they were. An answer that is lost is asked for again: the same values twice are the same. */
+export async function put(kv: Kv, entries: [string, Record<string, unknown> | undefined][]): Promise<void> {
+  for (let i = 0; i < tries; i++) {
+    const o = await kv.commit({ when: [], apply: entries.map(([key, data]) => ({ key, data })) });
+    if (o.r === 'ok') return;
+    if (o.r === 'malformed') break;
+  }
+  throw new NotWritten('the store did not take it');
+}
+const tries = 3;
--- /dev/null
+++ b/src/control/control.ts
@@ -0,0 +1,157 @@
+import { defaults } from '../config/operators.js';
+import type { Log } from '../core/effects.js';
+import type { JobSpec } from '../model/job.js';
+import type { Report } from '../model/report.js';
+import { Service } from '../service.js';
+import type { StateService } from '../state/service.js';
+import type { FrontHooks } from '../users/server.js';
+import { parseResults, type AgentJob, type TaskResult } from '../wire/agentside.js';
+import { Api } from './api.js';
+import { NotWritten, type Kv } from './books.js';
+import { Gangs } from './gangs.js';
+import { Pool } from './pool.js';
+import { Results } from './results.js';
+import { platformOf, type ControlSettings } from './settings.js';
+
+/** How long a stand-in sleeps when its class says nothing, and its owner neither, s. */
+const plainSleepS = 1;
+
+/**
+ * A controller of its own: the same core, with agents in the place of rented machines and a store in the place of the
+ * platform's state service. What agents report passes through here first: how tasks ended is on disk before the core hears
+ * of it, and so before anybody forgets it.
+ */
+export class ControlService {
+  readonly service: Service;
+  readonly pool: Pool;
+  readonly results: Results;
+  private readonly gangs: Gangs;
+  private readonly api: Api;
+  /** Gangs that a machine's next answer tells to go. */
+  private readonly go = new Map<string, string[]>();
+
+  constructor(
+    readonly settings: ControlSettings,
+    state: StateService & Kv,
+    log: Log,
+    snapshot: (() => Promise<object>) | null = null,
+  ) {
+    const { settings: platform, nodeLeaseRatio } = platformOf(settings);
+    const aliveMs = settings.reportS * 4000;
+    this.pool = new Pool(state, settings.zones, aliveMs, () => performance.now(), log);
+    this.results = new Results(state);
+    this.gangs = new Gangs((id) => this.gangTasks(id));
+    const operators = {
+      ...defaults,
+      'node-lease-ratio': nodeLeaseRatio,
+      'round-s': Math.min(1, settings.reportS / 4),
+    };
+    const hooks: FrontHooks = {
+      serve: (req, res, path) => this.api.serve(req, res, path),
+      checkin: (raw, report, pass, refuse) => void this.checkin(raw, report, pass, refuse),
+      answered: (host, status, body) => this.answered(host, status, body),
+    };
+    this.service = new Service(platform, operators, log, { state, cloud: this.pool, hooks });
+    this.api = new Api(this, snapshot);
+    this.pool.onTypes = () =>
+      void this.pool.types().then((types) => this.service.push({ c: 'types', types }));
+  }
+
+  async start(): Promise<void> {
+    await this.pool.load();
+    await this.results.load();
+    await this.service.start();
+  }
+
+  stop(): void {
+    this.service.stop();
+  }
+
+  private spec(id: string): JobSpec | null {
+    return this.service.controller.replica.jobs.get(id)?.spec ?? null;
+  }
+
+  private gangTasks(id: string): number | null {
+    const spec = this.spec(id);
+    if (spec?.shape !== 'gang') return null;
+    return spec.tasks - this.service.controller.replica.counts(id).done;
+  }
+
+  private async checkin(
+    raw: unknown,
+    report: Report,
+    pass: (report: Report) => void,
+    refuse: (status: number, body: object) => void,
+  ): Promise<void> {
+    const member = this.pool.get(report.host);
+    if (!member)
+      return refuse(410, { error: `${report.host}: not known here: it has left or was forgotten` });
+    if (member.forgotten) return refuse(410, { error: `${report.host}: forgotten by an operator` });
+    this.pool.heard(report.host, report.endpoint);
+    try {
+      await this.recordEnds(raw, report);
+    } catch (e) {
+      if (e instanceof NotWritten) return refuse(503, { error: e.message });
+      throw e;
+    }
+    for (const id of this.failedGangs(report)) this.service.push({ c: 'stop-gang', id });
+    // Drained: like a machine that is to be taken back, with all the time that it needs.
+    if (member.drainedAt !== null) report.noticeS = this.settings.drainS;
+    this.go.set(report.host, this.gangs.seen(report));
+    pass(report);
+  }
+
+  /** Ends of attempts are kept first; then the core is told what becomes of their tasks. */
+  private async recordEnds(raw: unknown, report: Report): Promise<void> {
+    const ended = new Map<string, TaskResult>();
+    for (const r of parseResults(raw)) ended.set(`${r.piece} ${r.attempt}`, r.result);
+    if (ended.size === 0) return;
+    await Promise.all(
+      report.tasks.map(async (t) => {
+        const result = ended.get(`${t.job}/${t.index} ${t.attempt}`);
+        if (t.phase !== 'exited' || !result) return;
+        const spec = this.spec(t.job);
+        const job = { id: t.job, retries: spec?.command?.retries ?? 0, gang: spec?.shape === 'gang' };
+        const verdict = await this.results.record(job, t.index, t.attempt, report.host, result);
+        t.why = verdict === 'done' ? 'done' : 'stopped';
+      }),
+    );
+  }
+
+  /** Gangs of which a task has failed for good, and others run on here: they fail together. */
+  private failedGangs(report: Report): Set<string> {
+    const failed = new Set<string>();
+    for (const t of report.tasks)
+      if (t.phase !== 'exited' && this.results.failures(t.job) > 0 && this.gangTasks(t.job) !== null)
+        failed.add(t.job);
+    return failed;
+  }
+
+  private answered(host: string, status: number, body: object): object {
+    const gangs = this.go.get(host);
+    this.go.delete(host);
+    return status === 200 && gangs && gangs.length > 0 ? { ...body, gangs } : body;
+  }
+
+  /** What an agent has to know of a job; null: there is none that is not over. */
+  agentJob(id: string): AgentJob | null {
+    const spec = this.spec(id);
+    if (!spec) return null;
+    const plain = { sleepS: null, fail: 0, hang: false, memMb: 0 };
+    const standIn = this.settings.classes.get(spec.class) ?? plain;
+    return {
+      cpus: spec.cpus,
+      gpus: spec.gpus,
+      memGb: spec.memGb,
+      gang: spec.shape === 'gang',
+      saveS: spec.saveS,
+      checkpointS: spec.checkpointS,
+      command: spec.command ?? null,
+      standIn: {
+        ...standIn,
+        hang: standIn.hang || spec.shape === 'service',
+        sleepS: standIn.sleepS ?? (spec.estimateS > 0 ? spec.estimateS : plainSleepS),
+      },
+    };
+  }
+}
--- /dev/null
+++ b/src/control/index.ts
@@ -0,0 +1,3 @@
+export { ControlService } from './control.js';
+export { openControl, type OpenControl } from './open.js';
+export { parseControlSettings, platformOf, type ControlSettings } from './settings.js';
--- /dev/null
+++ b/src/control/open.ts
@@ -0,0 +1,40 @@
+import type { Log } from '../core/effects.js';
+import { retryPolicies } from '../retry/index.js';
+import { Store } from '../state/store.js';
+import { EmbeddedStore, Engine, LevelDisk, snapshotInto, type StoreError } from '../store/index.js';
+import { ControlService } from './control.js';
+import { platformOf, type ControlSettings } from './settings.js';
+
+export interface OpenControl {
+  control: ControlService;
+  engine: Engine | null;
+  close(): Promise<void>;
+}
+
+/** Opens the store that the settings name and a control service on it. `onBroken`: its disk takes nothing any more. */
+export async function openControl(
+  settings: ControlSettings,
+  log: Log,
+  onBroken: (e: StoreError) => void,
+): Promise<OpenControl> {
+  const engine =
+    settings.directory === null
+      ? null
+      : await Engine.open(await LevelDisk.open(settings.directory), log, onBroken);
+  const { settings: platform, nodeLeaseRatio } = platformOf(settings);
+  const stateLeaseMs = settings.leaseS * 1000 * nodeLeaseRatio;
+  const state = engine
+    ? new EmbeddedStore(engine)
+    : new Store(platform.endpoints.state, retryPolicies({ ...platform, stateLeaseMs }).state.deadlineMs);
+  const { directory } = settings;
+  const snapshot = engine && directory !== null ? () => snapshotInto(engine, directory) : null;
+  const control = new ControlService(settings, state, log, snapshot);
+  return {
+    control,
+    engine,
+    close: async () => {
+      control.stop();
+      await engine?.close();
+    },
+  };
+}
--- /dev/null
+++ b/src/control/pool.ts
@@ -0,0 +1,190 @@
+import type { CloudService } from '../cloud/cloud.js';
+import type { Log } from '../core/effects.js';
+import type { MachineType } from '../model/machine.js';
+import type { Joining } from '../wire/agentside.js';
+import type { ListedMachine } from '../wire/cloud.js';
+import { put, type Kv } from './books.js';
+
+/** What is kept of an agent. */
+export interface PoolRecord extends Joining {
+  /** Its machine's name in the core: never used again for another. */
+  host: string;
+  joinedAt: number;
+  /** It is to leave: nothing new is started there. Time of day, ms; null: it stays. */
+  drainedAt: number | null;
+  /** A person has said that it is gone. */
+  forgotten: boolean;
+}
+
+interface Member extends PoolRecord {
+  /** When it was last heard, on this process's clock; null: not since this process began. */
+  heardAt: number | null;
+  endpoint: string | null;
+}
+
+const prefix = 'pool/';
+const countKey = 'pool-count';
+const keyOf = (host: string): string => `${prefix}${host}`;
+
+/** The agents, in the place of rented machines: they come and go by themselves. */
+export class Pool implements CloudService {
+  private readonly members = new Map<string, Member>();
+  private count = 0;
+  /** Called when a type of machine is new. */
+  onTypes: () => void = () => undefined;
+
+  constructor(
+    private readonly kv: Kv,
+    private readonly zones: readonly string[],
+    private readonly aliveMs: number,
+    private readonly now: () => number,
+    private readonly log: Log,
+  ) {}
+
+  async load(): Promise<void> {
+    const records = await this.kv.list(prefix);
+    const counts = await this.kv.list(countKey);
+    if (!records || !counts) throw new Error('the store does not answer');
+    for (const { data } of records) {
+      const r = data as PoolRecord;
+      this.members.set(r.host, { ...r, heardAt: null, endpoint: null });
+    }
+    this.count = (counts[0]?.data as { n?: number } | undefined)?.n ?? 0;
+  }
+
+  all(): Iterable<Readonly<Member>> {
+    return this.members.values();
+  }
+
+  get(host: string): Readonly<Member> | undefined {
+    return this.members.get(host);
+  }
+
+  /** By host, or by an agent's name: the one that joined last. */
+  find(name: string): Readonly<Member> | undefined {
+    const exact = this.members.get(name);
+    if (exact) return exact;
+    let last: Member | undefined;
+    for (const m of this.members.values())
+      if (m.name === name && !m.forgotten && (!last || m.joinedAt >= last.joinedAt)) last = m;
+    return last;
+  }
+
+  /** An agent joins, or comes back: the answer is its machine's name, or why it is not let in. */
+  async join(j: Joining): Promise<{ host: string } | { refused: string }> {
+    if (!this.zones.includes(j.zone))
+      return { refused: `zone ${j.zone}: not one of ${this.zones.join(', ')}` };
+    const alike = [...this.members.values()].find((m) => m.type === j.type);
+    if (alike && (alike.cpus !== j.cpus || alike.gpus !== j.gpus || alike.memGb !== j.memGb))
+      return {
+        refused: `type ${j.type}: ${alike.name} of that type has other resources; give it a type of its own`,
+      };
+    for (const m of this.members.values()) {
+      if (m.name !== j.name || m.forgotten || m.drainedAt !== null) continue;
+      if (m.id === j.id) {
+        if (m.zone === j.zone && m.type === j.type) return { host: m.host };
+        return { refused: `${j.name}: has joined as ${m.type} in ${m.zone}: drain it before it changes` };
+      }
+      if (m.heardAt !== null && this.now() - m.heardAt < this.aliveMs)
+        return { refused: `${j.name}: another agent has that name and is alive` };
+    }
+    const n = ++this.count;
+    const record: PoolRecord = {
+      ...j,
+      host: `${j.name}.${n}`,
+      joinedAt: Date.now(),
+      drainedAt: null,
+      forgotten: false,
+    };
+    await put(this.kv, [
+      [countKey, { n }],
+      [keyOf(record.host), { ...record }],
+    ]);
+    this.members.set(record.host, { ...record, heardAt: this.now(), endpoint: null });
+    this.log('info', 'agent joined', { host: record.host, type: record.type, zone: record.zone });
+    if (!alike) this.onTypes();
+    return { host: record.host };
+  }
+
+  heard(host: string, endpoint: string): void {
+    const m = this.members.get(host);
+    if (!m) return;
+    m.heardAt = this.now();
+    m.endpoint = endpoint;
+  }
+
+  /** It is to leave in order. */
+  async drain(host: string): Promise<void> {
+    await this.change(host, { drainedAt: Date.now() });
+  }
+
+  /** A person says that it is gone, with all that ran on it. */
+  async forget(host: string): Promise<void> {
+    await this.change(host, { forgotten: true });
+  }
+
+  private async change(host: string, what: Partial<PoolRecord>): Promise<void> {
+    const m = this.members.get(host);
+    if (!m) return;
+    const { heardAt, endpoint, ...record } = m;
+    await put(this.kv, [[keyOf(host), { ...record, ...what }]]);
+    this.members.set(host, { ...record, ...what, heardAt, endpoint });
+  }
+
+  // ---- in the cloud's place ----
+
+  types(): Promise<MachineType[]> {
+    const types = new Map<string, MachineType>();
+    for (const m of this.members.values())
+      if (!types.has(m.type))
+        types.set(m.type, {
+          name: m.type,
+          cpus: m.cpus,
+          gpus: m.gpus,
+          memGb: m.memGb,
+          cacheGb: 0,
+          fetchGbPerS: 0,
+          // Nothing is paid: larger machines are no dearer for each CPU.
+          price: m.cpus,
+          spotPrice: m.cpus,
+          bootS: 1,
+          zones: [...this.zones],
+        });
+    return Promise.resolve([...types.values()]);
+  }
+
+  rent(): Promise<'none'> {
+    return Promise.resolve('none');
+  }
+
+  /** Only what has left or was forgotten is gone. */
+  async delete(hosts: string[]): Promise<boolean> {
+    const mine = hosts.flatMap((h) => this.members.get(h) ?? []);
+    if (mine.some((m) => m.drainedAt === null && !m.forgotten)) return false;
+    if (mine.length > 0)
+      await put(
+        this.kv,
+        mine.map((m) => [keyOf(m.host), undefined]),
+      );
+    for (const m of mine) {
+      this.members.delete(m.host);
+      this.log('info', 'agent gone', { host: m.host, why: m.forgotten ? 'forgotten' : 'drained' });
+    }
+    return true;
+  }
+
+  list(): Promise<ListedMachine[]> {
+    const list: ListedMachine[] = [];
+    for (const m of this.members.values())
+      list.push({
+        host: m.host,
+        endpoint: m.endpoint ?? '',
+        type: m.type,
+        zone: m.zone,
+        spot: false,
+        status: 'running',
+        ageS: (Date.now() - m.joinedAt) / 1000,
+      });
+    return Promise.resolve(list);
+  }
+}
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -278,6 +278,14 @@
       case 'renewed':
         this.membership.renewed(c.hold, c.outcome, this.clock.now);
         break;
+      case 'stop-gang': {
+        const job = this.dispatcher.books.jobs.get(c.id);
+        if (job) this.dispatcher.books.stopGang(job);
+        break;
+      }
+      case 'forget':
+        this.fleet.forget(c.host);
+        break;
       case 'types':
         this.fleet.gotTypes(c.types);
         break;
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -41,6 +41,9 @@
   | { c: 'epoch'; sentAt: number; epoch: number | null }
   | { c: 'leased'; hold: number | null }
   | { c: 'renewed'; hold: number; outcome: 'ok' | 'gone' | 'failed' }
+  | { c: 'forget'; host: string }
+  /** A gang that cannot succeed any more: what is left of it is stopped. */
+  | { c: 'stop-gang'; id: string }
   | { c: 'types'; types: MachineType[] | null }
   | { c: 'rented'; request: RentRequest; outcome: { hosts: string[] } | 'none' | 'refused' | 'unknown' }
   | { c: 'deleted'; hosts: string[]; ok: boolean }
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -299,6 +299,12 @@
     this.heard.set(host, this.clock.now);
   }
 
+  /** A person says that a machine is gone, with all that was on it. */
+  forget(host: string): void {
+    const m = this.replica.machines.get(host);
+    if (m) this.condemn(m, 'forgotten');
+  }
+
   private condemn(m: Machine, why: string): void {
     if (m.standing === 'dead') return;
     this.log('info', 'machine given up', { host: m.host, why });
@@ -360,7 +366,8 @@
     const hosts: string[] = [];
     for (const m of this.replica.machines.values()) {
       if (this.deleting.has(m.host) || this.writing.has(machineKey(m.host))) continue;
-      if (m.standing === 'dead' || (m.standing === 'free' && this.surplus(m))) hosts.push(m.host);
+      const idle = m.standing === 'free' && !this.settings.pool && this.surplus(m);
+      if (m.standing === 'dead' || idle) hosts.push(m.host);
       if (hosts.length >= mostPerDelete) break;
     }
     if (hosts.length === 0 || !this.spend()) return;
@@ -384,6 +391,7 @@
   // ---- renting ----
 
   private plan(out: Effect[]): void {
+    if (this.settings.pool) return this.takeAll();
     const demand = new Demand(
       this.settings,
       this.operators,
@@ -416,6 +424,15 @@
     this.rentAll(unmet, out);
   }
 
+  /** Machines that cost nothing are used as they come. */
+  private takeAll(): void {
+    for (const m of this.replica.machines.values())
+      if (m.standing === 'free' && !this.writing.has(machineKey(m.host)))
+        this.restand(m.host, (now) =>
+          now.standing === 'free' ? { ...now, shard: 0, standing: 'use' } : null,
+        );
+  }
+
   /** Fills in the rooms of all machines that are up or coming; returns those that are with the leader. */
   private countRooms(demand: Demand): { m: Machine; type: MachineType }[] {
     const free: { m: Machine; type: MachineType }[] = [];
--- a/src/core/upkeep.ts
+++ b/src/core/upkeep.ts
@@ -26,14 +26,18 @@
         for (const p of [...m.placements.values()]) this.books.gone(p, 'lease ended', 'lost');
       }
       if (m.record.standing !== 'use' || m.releasing) continue;
+      const { pool } = this.books.settings;
       // Guards against a hasty new owner: before it was heard, a machine may be up under the earlier one.
       const quietS = (now - m.takenAt) / 1000;
-      if (m.heardAt > 0 ? silentS > w.lease_s + 2 * w.report_s : quietS > m.type.bootS * 4 + w.lease_s) {
+      if (
+        !pool &&
+        (m.heardAt > 0 ? silentS > w.lease_s + 2 * w.report_s : quietS > m.type.bootS * 4 + w.lease_s)
+      ) {
         if (m.record.spot && m.heardAt > 0 && m.noticeAt === 0) this.books.hazard.taken();
         this.release(m, 'dead', m.heardAt > 0 ? 'silent' : 'never came up');
       } else if (m.condemned && m.placements.size === 0) this.release(m, 'dead', 'failing');
       else if (m.noticeAt > 0 && m.placements.size === 0) this.release(m, 'dead', 'notice');
-      else if (m.placements.size === 0 && m.provenAt > 0 && now - m.idleSince > this.idleMs(m))
+      else if (!pool && m.placements.size === 0 && m.provenAt > 0 && now - m.idleSince > this.idleMs(m))
         this.release(m, 'free', 'idle');
     }
     this.books.hazard.observe(spot, elapsedS);
--- a/src/model/job.ts
+++ b/src/model/job.ts
@@ -25,6 +25,23 @@
   saveS: number;
   /** Measured from submission; null: no deadline. */
   deadlineS: number | null;
+  /** What its tasks run on an agent; without it they only stand for work. */
+  command?: CommandSpec;
+}
+
+/** A command as a user gives it; agents run it once for each task. */
+export interface CommandSpec {
+  argv: string[];
+  env: Record<string, string>;
+  /** Where it runs; null: in a directory of the task's own. */
+  dir: string | null;
+  /** Files for its output, relative to where it runs; null: files of the agent's. */
+  stdout: string | null;
+  stderr: string | null;
+  /** How long it may run, s; null: as long as it takes. */
+  wallS: number | null;
+  /** How often a task that failed is tried again. */
+  retries: number;
 }
 
 export type JobState = 'open' | 'done' | 'cancelled';
--- a/src/service.ts
+++ b/src/service.ts
@@ -1,6 +1,6 @@
 import { randomBytes } from 'node:crypto';
 import { performance } from 'node:perf_hooks';
-import { Cloud } from './cloud/cloud.js';
+import { Cloud, type CloudService } from './cloud/cloud.js';
 import { Workers } from './workers/workers.js';
 import type { Operators } from './config/operators.js';
 import { splitAddr, type Settings } from './config/settings.js';
@@ -13,8 +13,9 @@
 import type { Frame } from './peers/frames.js';
 import { Attempts, retryPolicies, seeded, type Random, type RetryPolicies } from './retry/index.js';
 import { Follower } from './state/follower.js';
+import type { StateService } from './state/service.js';
 import { Store } from './state/store.js';
-import { PublicServer } from './users/server.js';
+import { PublicServer, type FrontHooks } from './users/server.js';
 import type { Change } from './wire/store.js';
 
 const tickMs = 50;
@@ -22,15 +23,22 @@
 /** Polls may use this share of the request budget that is this controller's share; the first reading all of it. */
 const pollShare = 1 / 3;
 
+/** What stands in the place of the platform's state service and cloud. */
+export interface Parts {
+  state: StateService;
+  cloud: CloudService;
+  hooks: FrontHooks;
+}
+
 /** Wires the core to the world: commands are queued and worked off in batches, effects carried out. */
 export class Service {
   readonly controller: Controller;
-  private readonly store: Store;
+  private readonly store: StateService;
   private readonly run: string;
   private readonly random: Random;
   private readonly retry: RetryPolicies;
   private readonly limits: Limits;
-  private readonly cloud: Cloud;
+  private readonly cloud: CloudService;
   private readonly workers: Workers;
   private readonly follower: Follower;
   private readonly front: PublicServer;
@@ -41,12 +49,14 @@
   private readonly owed = new Map<number, { to: string; id: number }>();
   private owedCount = 0;
   private scheduled = false;
+  private readonly timers: NodeJS.Timeout[] = [];
   private utilization = performance.eventLoopUtilization();
 
   constructor(
     private readonly settings: Settings,
     operators: Operators,
     private readonly log: Log,
+    parts: Partial<Parts> = {},
   ) {
     const seed = randomBytes(4);
     this.run = seed.toString('hex');
@@ -55,8 +65,8 @@
     this.retry = retryPolicies({ ...settings, stateLeaseMs });
     this.limits = limitsOf(settings);
     this.controller = new Controller(settings, operators, this.run, this.random, log);
-    this.store = new Store(settings.endpoints.state, this.retry.state.deadlineMs);
-    this.cloud = new Cloud(settings.endpoints.cloud, this.retry.cloud.deadlineMs);
+    this.store = parts.state ?? new Store(settings.endpoints.state, this.retry.state.deadlineMs);
+    this.cloud = parts.cloud ?? new Cloud(settings.endpoints.cloud, this.retry.cloud.deadlineMs);
     this.workers = new Workers(this.retry.workers.deadlineMs, this.limits.sockets.orders);
     this.memory = new Memory(this.limits.memory, log);
     this.intake = new Intake(settings, this.limits, this.random);
@@ -78,6 +88,7 @@
       () => this.controller.healthy,
       this.limits.sockets,
       settings.workers.report_s * 1000,
+      parts.hooks ?? null,
     );
   }
 
@@ -89,8 +100,9 @@
     });
     this.log('info', 'listening', { member: this.settings.member, addr: this.settings.publicAddr });
     void this.follower.run();
-    setInterval(() => this.push({ c: 'tick' }), tickMs);
-    setInterval(() => this.measure(), measureMs);
+    this.timers.push(setInterval(() => this.push({ c: 'tick' }), tickMs));
+    this.timers.push(setInterval(() => this.measure(), measureMs));
+    if (this.settings.peers.length === 0) return;
     // Loaded only now: start-up time counts, and nobody waits for the talk between controllers.
     const { Mesh } = await import('./peers/mesh.js');
     const mesh = new Mesh(
@@ -107,6 +119,20 @@
     this.mesh = mesh;
   }
 
+  /** Where it listens. */
+  get address(): { port: number } {
+    return this.front.server.address() as { port: number };
+  }
+
+  /** Ends what this process does; what is under way elsewhere goes on. */
+  stop(): void {
+    for (const t of this.timers) clearInterval(t);
+    this.follower.stop();
+    this.mesh?.stop();
+    this.front.server.close();
+    this.front.server.closeAllConnections();
+  }
+
   private measure(): void {
     const now = performance.eventLoopUtilization();
     const { utilization: busy } = performance.eventLoopUtilization(now, this.utilization);
@@ -136,7 +162,7 @@
     }
   }
 
-  private push(c: Command): void {
+  push(c: Command): void {
     for (const e of this.intake.offer(c, performance.now())) this.carryOut(e);
     this.schedule();
   }
--- a/src/state/follower.ts
+++ b/src/state/follower.ts
@@ -40,6 +40,7 @@
   private polledAt = -Infinity;
   private timer: NodeJS.Timeout | null = null;
   private wake: (() => void) | null = null;
+  private stopped = false;
 
   constructor(
     private readonly source: Source,
@@ -66,8 +67,14 @@
     if (this.from >= 0) this.schedule();
   }
 
-  async run(): Promise<never> {
-    for (;;) {
+  stop(): void {
+    this.stopped = true;
+    if (this.timer) clearTimeout(this.timer);
+    this.wake?.();
+  }
+
+  async run(): Promise<void> {
+    while (!this.stopped) {
       if (this.from < 0) await this.load();
       // Polls bring the changes as long as they follow each other; a watch beside them would bring them twice.
       if (this.polling || this.timer !== null) {
@@ -84,7 +91,7 @@
     const items: Change[] = [];
     let epoch = -1;
     let left = this.pace.burst;
-    for (let from = ''; ;) {
+    for (let from = ''; !this.stopped;) {
       const page = await this.source.page(from);
       if (page === null || page === 'busy') {
         this.attempts.fail(this.now());
@@ -102,12 +109,13 @@
       from = page.items[page.items.length - 1].key;
       if (--left <= 0) await this.sleep(this.pace.pageMs);
     }
+    if (this.stopped) return;
     this.from = epoch;
     this.events.loaded(items, epoch);
   }
 
   private schedule(): void {
-    if (this.polling || this.timer !== null) return;
+    if (this.stopped || this.polling || this.timer !== null) return;
     const at = Math.max(this.polledAt + this.pace.everyMs, this.attempts.notBefore);
     this.timer = setTimeout(
       () => {
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -1,6 +1,7 @@
 import type { CommitOutcome } from '../core/effects.js';
 import { prefix } from '../core/keys.js';
 import { HttpClient } from '../net/client.js';
+import type { StateService } from './service.js';
 import {
   leaseOut,
   parseEpoch,
@@ -18,7 +19,7 @@
 const pageItems = 1000;
 
 /** The state service as the core sees it. */
-export class Store {
+export class Store implements StateService {
   private readonly calls: HttpClient;
   private readonly watches: HttpClient;
 
@@ -71,6 +72,19 @@
     return r?.status === 200 ? parseItems(r.body) : null;
   }
 
+  /** All keys under a prefix of somebody else's; null: no answer. */
+  async list(starts: string): Promise<Change[] | null> {
+    const all: Change[] = [];
+    for (let from = ''; ;) {
+      const r = await this.calls.call('GET', scanPath(starts, from, pageItems), null, this.timeoutMs * 2);
+      const page = r?.status === 200 ? parseItems(r.body) : null;
+      if (!page) return null;
+      for (const i of page.items) all.push(i);
+      if (!page.more || page.items.length === 0) return all;
+      from = page.items[page.items.length - 1].key;
+    }
+  }
+
   /**
    * Changes after a revision, at once or as soon as there are any; 'old' if the service has forgotten them; null
    * if it gave none.
--- /dev/null
+++ b/src/store/http.ts
@@ -0,0 +1,106 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import {
+  changesOut,
+  conflictOut,
+  entryOut,
+  epochOut,
+  holdOut,
+  itemsOut,
+  noLease,
+  parseTtl,
+  parseTxn,
+} from '../wire/storeside.js';
+import type { Engine } from './engine.js';
+import { snapshotInto } from './snapshot.js';
+
+const mostBody = 64 * 1024;
+const longestWatchMs = 60_000;
+
+/** The state service's protocol over HTTP, for an engine. */
+export function storeServer(engine: Engine, dir: string): Server {
+  const server = createServer({ keepAliveTimeout: 120_000, requestTimeout: 10_000 }, (req, res) => {
+    serve(engine, dir, req, res).catch((e: unknown) =>
+      reply(res, 503, { error: String((e as Error).message) }),
+    );
+  });
+  server.on('clientError', (_, socket) => socket.destroy());
+  return server;
+}
+
+async function serve(engine: Engine, dir: string, req: IncomingMessage, res: ServerResponse): Promise<void> {
+  const url = new URL(req.url ?? '/', 'http://store');
+  const route = `${req.method ?? ''} ${url.pathname}`;
+  const lease = /^(POST|DELETE) \/leases\/(\d+)(\/renew)?$/.exec(route);
+  if (engine.broken) return reply(res, 503, { error: engine.broken.message });
+  if (route === 'POST /commit') return commit(engine, await body(req), res);
+  if (route === 'POST /leases') {
+    const ttl = parseTtl(await body(req));
+    if (typeof ttl === 'string') return reply(res, 400, { error: ttl });
+    const hold = await engine.lease(ttl);
+    return hold === null ? reply(res, 503, { error: 'not written' }) : reply(res, 200, holdOut(hold));
+  }
+  if (lease) {
+    const hold = Number(lease[2]);
+    const ok = lease[1] === 'DELETE' ? await engine.end(hold) : lease[3] !== undefined && engine.renew(hold);
+    return reply(res, ok ? 200 : 404, ok ? {} : { error: noLease });
+  }
+  if (route === 'GET /kv') {
+    const limit = Number(url.searchParams.get('limit') ?? 1000);
+    if (!Number.isInteger(limit) || limit < 1)
+      return reply(res, 400, { error: 'limit: must be a whole number' });
+    const page = engine.scan(url.searchParams.get('starts') ?? '', url.searchParams.get('from') ?? '', limit);
+    return reply(res, 200, itemsOut(page.items, page.more, page.epoch));
+  }
+  if (route.startsWith('GET /kv/')) {
+    const key = decodeURIComponent(url.pathname.slice('/kv/'.length));
+    const { entry, epoch } = engine.get(key);
+    return entry ? reply(res, 200, entryOut(key, entry)) : reply(res, 404, epochOut(epoch));
+  }
+  if (route === 'POST /snapshot') return reply(res, 200, await snapshotInto(engine, dir));
+  if (route === 'GET /changes') return watch(engine, url.searchParams, res);
+  reply(res, 404, { error: 'not found' });
+}
+
+async function commit(engine: Engine, value: unknown, res: ServerResponse): Promise<void> {
+  const txn = parseTxn(value);
+  if (typeof txn === 'string') return reply(res, 400, { error: txn });
+  const o = await engine.commit(txn);
+  if (o.r === 'ok') reply(res, 200, epochOut(o.epoch));
+  else if (o.r === 'conflict') reply(res, 409, conflictOut(o.failed, o.epoch));
+  else if (o.r === 'unleased') reply(res, 400, { error: noLease });
+  // It may be on disk or not: no answer says so.
+  else res.destroy();
+}
+
+async function watch(engine: Engine, q: URLSearchParams, res: ServerResponse): Promise<void> {
+  const from = Number(q.get('from') ?? NaN);
+  const blockMs = Number(q.get('blockMs') ?? 0);
+  if (!Number.isInteger(from) || from < 0) return reply(res, 400, { error: 'from: must be a revision' });
+  if (!(blockMs >= 0 && blockMs <= longestWatchMs))
+    return reply(res, 400, { error: `blockMs: must be 0 to ${longestWatchMs}` });
+  const r = await engine.changes(q.get('starts') ?? '', from, blockMs);
+  if (r === 'old') reply(res, 410, { error: 'too old: read the keys again' });
+  else reply(res, 200, changesOut(r.changes, r.epoch));
+}
+
+async function body(req: IncomingMessage): Promise<unknown> {
+  const parts: Buffer[] = [];
+  let size = 0;
+  for await (const part of req as AsyncIterable<Buffer>) {
+    size += part.length;
+    if (size > mostBody) return 'too large';
+    parts.push(part);
+  }
+  try {
+    return JSON.parse(Buffer.concat(parts).toString('utf8')) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+function reply(res: ServerResponse, status: number, value: object): void {
+  if (res.headersSent || res.destroyed) return;
+  const text = JSON.stringify(value);
+  res.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text) });
+  res.end(text);
+}
--- /dev/null
+++ b/src/store/snapshot.ts
@@ -0,0 +1,131 @@
+import { createHash } from 'node:crypto';
+import {
+  closeSync,
+  createReadStream,
+  existsSync,
+  fsyncSync,
+  mkdirSync,
+  openSync,
+  readdirSync,
+  renameSync,
+  writeSync,
+} from 'node:fs';
+import { join } from 'node:path';
+import { createInterface } from 'node:readline';
+import { format, LevelDisk } from './disk.js';
+import { StoreError } from './errors.js';
+import type { Engine } from './engine.js';
+import type { Entry, View } from './keyspace.js';
+
+/** So many keys go to the file between two turns of others. */
+const together = 500;
+
+/**
+ * Writes one moment of the store to a file, while the store goes on: a line that says what it is, a line a key, a line
+ * with the digest of all before it. The file has its name only once it is whole and on disk.
+ */
+export async function writeSnapshot(view: View, path: string): Promise<{ keys: number; epoch: number }> {
+  const part = `${path}.part`;
+  const file = openSync(part, 'w', 0o600);
+  const digest = createHash('sha256');
+  const line = (value: unknown): void => {
+    const text = `${JSON.stringify(value)}\n`;
+    digest.update(text);
+    writeSync(file, text);
+  };
+  try {
+    line({ dapplepick: 'snapshot', format, epoch: view.epoch, keys: view.keys.size });
+    let n = 0;
+    for (const [key, { data, stamp }] of view.keys.entries()) {
+      line([key, data, stamp]);
+      if (++n % together === 0) await new Promise((resolve) => setImmediate(resolve));
+    }
+    writeSync(file, `${JSON.stringify({ sha256: digest.digest('hex') })}\n`);
+    fsyncSync(file);
+  } catch (e) {
+    throw new StoreError('failed', `${path}: ${String((e as Error).message)}`);
+  } finally {
+    closeSync(file);
+  }
+  renameSync(part, path);
+  return { keys: view.keys.size, epoch: view.epoch };
+}
+
+/** A snapshot of an open store, in its directory, named by its revision. */
+export async function snapshotInto(
+  engine: Engine,
+  dir: string,
+): Promise<{ path: string; keys: number; epoch: number }> {
+  const view = engine.view();
+  const folder = join(dir, 'snapshots');
+  mkdirSync(folder, { recursive: true, mode: 0o700 });
+  const path = join(folder, `${String(view.epoch).padStart(12, '0')}.jsonl`);
+  return { path, ...(await writeSnapshot(view, path)) };
+}
+
+/**
+ * Makes a store from a snapshot, in a directory that holds none. Leases are not restored: whoever held one has to ask for
+ * another, and what was attached to it is gone, as after its end.
+ */
+export async function restoreSnapshot(path: string, dir: string): Promise<{ keys: number; epoch: number }> {
+  if (existsSync(dir) && readdirSync(dir).length > 0)
+    throw new StoreError('foreign', `${dir}: not empty: a snapshot is restored into a new directory only`);
+  const damaged = (why: string): StoreError => new StoreError('damaged', `${path}: ${why}`);
+  const { head, entries } = await readWhole(path, damaged);
+  const disk = await LevelDisk.open(dir);
+  try {
+    await disk.load();
+    const nextHold = 1 + Math.max(0, ...entries.map(([, e]) => e.hold ?? 0));
+    const empty = { epoch: head.epoch, nextHold, drops: [], leases: [], ended: [] };
+    for (let i = 0; i < entries.length; i += together)
+      await disk.write([{ ...empty, puts: entries.slice(i, i + together) }]);
+    await disk.write([{ ...empty, puts: [] }]);
+  } finally {
+    await disk.close();
+  }
+  return { keys: entries.length, epoch: head.epoch };
+}
+
+interface Head {
+  dapplepick?: string;
+  format?: number;
+  epoch: number;
+  keys: number;
+}
+
+async function readWhole(
+  path: string,
+  damaged: (why: string) => StoreError,
+): Promise<{ head: { epoch: number; keys: number }; entries: [string, Entry][] }> {
+  const digest = createHash('sha256');
+  let head = null as Head | null;
+  const entries: [string, Entry][] = [];
+  let sum: string | null = null;
+  let n = 0;
+  for await (const text of createInterface({ input: createReadStream(path), crlfDelay: Infinity })) {
+    n++;
+    let value: unknown;
+    try {
+      value = JSON.parse(text);
+    } catch {
+      throw damaged(`line ${n}: not JSON`);
+    }
+    if (head === null) {
+      head = value as Head;
+      if (head.dapplepick !== 'snapshot') throw damaged('not a snapshot of a store');
+      if (head.format !== format)
+        throw new StoreError('version', `${path}: format ${head.format}, this program reads ${format}`);
+    } else if (Array.isArray(value)) {
+      const [key, data, stamp] = value as [string, unknown, number];
+      entries.push([key, { data, stamp }]);
+    } else {
+      sum = (value as { sha256: string }).sha256;
+      break;
+    }
+    digest.update(`${text}\n`);
+  }
+  if (head === null) throw damaged('empty');
+  if (sum === null || entries.length !== head.keys) throw damaged(`cut short after line ${n}`);
+  if (sum !== digest.digest('hex')) throw damaged('its digest does not match');
+  return { head, entries };
+}
--- a/src/users/server.ts
+++ b/src/users/server.ts
@@ -1,16 +1,34 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Command } from '../core/effects.js';
 import type { Limits } from '../limits/index.js';
+import type { Report } from '../model/report.js';
 import { parseReport } from '../wire/worker.js';
 import { jobPath, parseSubmission, withdrawEnd } from '../wire/user.js';
 import { Connections, type Peer } from './connections.js';
 
 const mostBody = 64 * 1024;
 
+/** What a program around the core adds to the HTTP side. */
+export interface FrontHooks {
+  /** Takes a request over; false: it is none of its own. */
+  serve(req: IncomingMessage, res: ServerResponse, path: string): boolean;
+  /** Looks at a worker's report before the core does. `pass` hands it on, `refuse` answers instead. */
+  checkin(
+    raw: unknown,
+    report: Report,
+    pass: (report: Report) => void,
+    refuse: (status: number, body: object) => void,
+  ): void;
+  /** The answer to a worker, as it goes out. */
+  answered(host: string, status: number, body: object): object;
+}
+
 /** The HTTP side towards users, workers and health checks: requests become commands. */
 export class PublicServer {
   private readonly pending = new Map<number, ServerResponse>();
   private count = 0;
+  /** Whose report a request is, where somebody wants to see the answer. */
+  private readonly hosts = new Map<number, string>();
   readonly server: Server;
   private readonly connections: Connections;
 
@@ -20,6 +38,7 @@
     private readonly sockets: Pick<Limits['sockets'], 'most' | 'comfortable'>,
     /** Workers come again within this time, ms. */
     reportMs: number,
+    private readonly hooks: FrontHooks | null = null,
   ) {
     this.connections = new Connections(reportMs * 2);
     this.server = createServer(
@@ -43,9 +62,13 @@
 
   answer(rid: number, status: number, body: object | string, retryAfterS?: number): void {
     const res = this.pending.get(rid);
+    const host = this.hosts.get(rid);
+    this.hosts.delete(rid);
     if (!res) return;
     this.pending.delete(rid);
-    reply(res, status, body, retryAfterS);
+    const seen =
+      host !== undefined && typeof body === 'object' ? this.hooks!.answered(host, status, body) : body;
+    reply(res, status, seen, retryAfterS);
   }
 
   private serve(req: IncomingMessage, res: ServerResponse): void {
@@ -53,6 +76,7 @@
     const method = req.method ?? '';
     const part = path.split('/');
     this.note(req, res, path);
+    if (this.hooks?.serve(req, res, path)) return;
     if (path === '/healthz') {
       if (!allow(method, 'GET', res)) return;
       return reply(res, this.healthy() ? 200 : 503, {});
@@ -70,7 +94,7 @@
       return this.read(req, res, (body) => {
         const report = parseReport(body);
         if (typeof report === 'string') return reply(res, 400, { error: report });
-        this.push({ c: 'checkin', rid: this.keep(res), report });
+        this.checkin(body, report, res);
       });
     }
     if (`/${part[1]}` === jobPath && part.length === 3 && part[2] !== '') {
@@ -84,6 +108,16 @@
     reply(res, 404, { error: 'not found' });
   }
 
+  private checkin(raw: unknown, report: Report, res: ServerResponse): void {
+    const pass = (seen: Report): void => {
+      const rid = this.keep(res);
+      if (this.hooks) this.hosts.set(rid, seen.host);
+      this.push({ c: 'checkin', rid, report: seen });
+    };
+    if (!this.hooks) return pass(report);
+    this.hooks.checkin(raw, report, pass, (status, body) => reply(res, status, body));
+  }
+
   private note(req: IncomingMessage, res: ServerResponse, path: string): void {
     const peer: Peer = path === '/healthz' ? 'probe' : path === '/checkin' ? 'worker' : 'user';
     const { socket } = req;
@@ -141,7 +175,12 @@
   return false;
 }
 
-function reply(res: ServerResponse, status: number, body: object | string, retryAfterS?: number): void {
+export function reply(
+  res: ServerResponse,
+  status: number,
+  body: object | string,
+  retryAfterS?: number,
+): void {
   if (res.headersSent || res.destroyed) return;
   const text = typeof body === 'string' ? body : JSON.stringify(body);
   const headers: Record<string, string | number> = {
--- /dev/null
+++ b/src/wire/agentside.ts
@@ -0,0 +1,249 @@
+import * as v from 'valibot';
+import { pieceName, splitPiece, type CommandSpec } from '../model/job.js';
+import type { ExitWhy, Order, TaskPhase } from '../model/report.js';
+
+/** The worker's side of its protocol: reports out, answers in; and what agents and a control service add to it. */
+
+/** How a task on an agent ended. Times of day, ms. */
+export interface TaskResult {
+  /** null: it was ended by a signal, or nobody knows. */
+  exit: number | null;
+  signal: string | null;
+  reason: ResultReason;
+  startedAt: number;
+  endedAt: number;
+}
+export const reasons = ['exited', 'wall time', 'memory', 'stopped', 'cannot run', 'lost', 'gang'] as const;
+export type ResultReason = (typeof reasons)[number];
+
+export interface HeldTask {
+  job: string;
+  index: number;
+  attempt: number;
+  phase: TaskPhase;
+  why: ExitWhy | null;
+  saved: boolean;
+  result: TaskResult | null;
+}
+
+export interface AgentReport {
+  host: string;
+  endpoint: string;
+  type: string;
+  zone: string;
+  session: number;
+  seq: number;
+  token: number;
+  tasks: HeldTask[];
+}
+
+const phaseNames: Record<TaskPhase, string> = {
+  fetching: 'pulling',
+  waiting: 'waiting',
+  running: 'running',
+  saving: 'saving',
+  exited: 'exited',
+};
+const whyNames: Record<ExitWhy, string> = {
+  done: 'done',
+  stopped: 'stopped',
+  peers: 'peers',
+  alone: 'alone',
+  error: 'error',
+  full: 'full',
+  busy: 'in_use',
+  unknown: 'unknown',
+};
+
+export const agentReportOut = (r: AgentReport): object => ({
+  host: r.host,
+  endpoint: r.endpoint,
+  flavour: r.type,
+  yard: r.zone,
+  loaners: false,
+  tenure: r.session,
+  tick: r.seq,
+  baton: r.token,
+  recallS: null,
+  pieces: r.tasks.map((t) => ({
+    piece: pieceName(t.job, t.index),
+    try: t.attempt,
+    status: phaseNames[t.phase],
+    ...(t.why === null ? {} : { cause: whyNames[t.why] }),
+    ...(t.phase === 'exited' ? { stored: t.saved } : {}),
+    ...(t.result ? { result: t.result } : {}),
+  })),
+});
+
+const counter = v.pipe(v.number(), v.integer(), v.minValue(0));
+const order = v.object({
+  verb: v.string(),
+  piece: v.string(),
+  try: counter,
+  windDownS: v.optional(v.nullable(v.number()), 0),
+});
+const orders = v.optional(v.nullable(v.array(order)), null);
+const answer = v.object({
+  baton: v.optional(v.nullable(counter), null),
+  orders,
+  /** Gangs of which every task is there, as "JOB ATTEMPT". */
+  gangs: v.optional(v.nullable(v.array(v.string())), null),
+});
+const direct = v.object({
+  baton: v.optional(v.nullable(counter), null),
+  tenure: v.optional(v.nullable(counter), null),
+  orders,
+});
+
+function ordersIn(list: v.InferOutput<typeof orders>): Order[] {
+  const out: Order[] = [];
+  for (const o of list ?? []) {
+    const id = splitPiece(o.piece);
+    if (!id) continue;
+    const base = { ...id, attempt: o.try };
+    if (o.verb === 'run') out.push({ op: 'start', ...base });
+    else if (o.verb === 'kill') out.push({ op: 'stop', ...base, graceS: o.windDownS ?? 0 });
+    else if (o.verb === 'clear') out.push({ op: 'forget', ...base });
+  }
+  return out;
+}
+
+export interface Answer {
+  token: number | null;
+  orders: Order[];
+  gangs: string[];
+}
+
+export function parseAnswer(body: unknown): Answer | null {
+  const r = v.safeParse(answer, body);
+  if (!r.success) return null;
+  return { token: r.output.baton, orders: ordersIn(r.output.orders), gangs: r.output.gangs ?? [] };
+}
+
+export function parseBoss(body: unknown): string | null {
+  const boss = (body as { boss?: unknown } | null)?.boss;
+  return typeof boss === 'string' ? boss : null;
+}
+
+export function parseOrders(
+  body: unknown,
+): { token: number | null; session: number | null; orders: Order[] } | null {
+  const r = v.safeParse(direct, body);
+  return r.success
+    ? { token: r.output.baton, session: r.output.tenure, orders: ordersIn(r.output.orders) }
+    : null;
+}
+
+const result = v.object({
+  exit: v.nullable(v.number()),
+  signal: v.nullable(v.string()),
+  reason: v.picklist(reasons),
+  startedAt: v.number(),
+  endedAt: v.number(),
+});
+const results = v.object({
+  pieces: v.array(
+    v.object({ piece: v.string(), try: counter, result: v.optional(v.nullable(result), null) }),
+  ),
+});
+
+/** How the exited tasks of a report ended, where it says so. */
+export function parseResults(body: unknown): { piece: string; attempt: number; result: TaskResult }[] {
+  const r = v.safeParse(results, body);
+  if (!r.success) return [];
+  return r.output.pieces.flatMap((p) =>
+    p.result ? [{ piece: p.piece, attempt: p.try, result: p.result }] : [],
+  );
+}
+
+// ---- joining ----
+
+const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
+const word = v.pipe(v.string(), v.regex(/^[A-Za-z0-9][\w.-]{0,39}$/, 'must be a short name'));
+const joining = v.object({
+  id: v.pipe(v.string(), v.regex(/^[0-9a-f]{8,64}$/)),
+  name: word,
+  type: word,
+  zone: word,
+  cpus: v.pipe(amount, v.gtValue(0)),
+  gpus: amount,
+  memGb: v.pipe(amount, v.gtValue(0)),
+  attrs: v.optional(v.nullable(v.record(v.string(), v.union([v.string(), v.number(), v.boolean()]))), null),
+});
+
+/** What an agent says of itself when it joins. */
+export interface Joining {
+  /** Made once, with its directory: tells it from another with the same name. */
+  id: string;
+  name: string;
+  type: string;
+  zone: string;
+  cpus: number;
+  gpus: number;
+  memGb: number;
+  attrs: Record<string, string | number | boolean>;
+}
+
+export function parseJoining(body: unknown): Joining | string {
+  const r = v.safeParse(joining, body);
+  if (!r.success) return `${v.getDotPath(r.issues[0]) ?? 'body'}: ${r.issues[0].message}`;
+  return { ...r.output, attrs: r.output.attrs ?? {} };
+}
+
+const joined = v.object({
+  host: v.string(),
+  reportS: v.pipe(v.number(), v.gtValue(0)),
+  leaseS: v.pipe(v.number(), v.gtValue(0)),
+  gangWaitS: v.pipe(v.number(), v.gtValue(0)),
+});
+export type Joined = v.InferOutput<typeof joined>;
+export function parseJoined(body: unknown): Joined | null {
+  const r = v.safeParse(joined, body);
+  return r.success ? r.output : null;
+}
+
+/** What a task of a job without a command does. */
+export interface StandIn {
+  sleepS: number;
+  /** Of so many tasks out of one, the share that fails. */
+  fail: number;
+  hang: boolean;
+  memMb: number;
+}
+
+/** A job as an agent needs it. */
+export interface AgentJob {
+  cpus: number;
+  gpus: number;
+  memGb: number;
+  gang: boolean;
+  saveS: number;
+  checkpointS: number;
+  command: CommandSpec | null;
+  standIn: StandIn;
+}
+
+const job = v.object({
+  cpus: amount,
+  gpus: amount,
+  memGb: amount,
+  gang: v.boolean(),
+  saveS: amount,
+  checkpointS: amount,
+  command: v.nullable(
+    v.object({
+      argv: v.pipe(v.array(v.string()), v.minLength(1)),
+      env: v.record(v.string(), v.string()),
+      dir: v.nullable(v.string()),
+      stdout: v.nullable(v.string()),
+      stderr: v.nullable(v.string()),
+      wallS: v.nullable(v.number()),
+      retries: counter,
+    }),
+  ),
+  standIn: v.object({ sleepS: amount, fail: amount, hang: v.boolean(), memMb: amount }),
+});
+export function parseAgentJob(body: unknown): AgentJob | null {
+  const r = v.safeParse(job, body);
+  return r.success ? r.output : null;
+}
--- /dev/null
+++ b/src/wire/storeside.ts
@@ -0,0 +1,71 @@
+import * as v from 'valibot';
+import type { Change, Txn } from './store.js';
+
+/** The state service's side of its protocol: requests in, answers out. */
+
+const key = v.pipe(v.string(), v.minLength(1), v.regex(/^\S+$/, 'must not contain spaces'));
+const count = v.pipe(v.number(), v.integer(), v.minValue(0));
+const data = v.record(v.string(), v.unknown());
+
+const txn = v.object({
+  when: v.optional(v.nullable(v.array(v.object({ key, stamp: count }))), null),
+  apply: v.optional(
+    v.nullable(
+      v.array(
+        v.union([
+          v.object({ put: key, data, hold: v.optional(v.nullable(count), null) }),
+          v.object({ drop: key }),
+        ]),
+      ),
+    ),
+    null,
+  ),
+});
+
+const mostKeyBytes = 200;
+
+/** The transaction asked for, or what is wrong with the request. */
+export function parseTxn(body: unknown): Txn | string {
+  const r = v.safeParse(txn, body);
+  if (!r.success) return `${v.getDotPath(r.issues[0]) ?? 'body'}: ${r.issues[0].message}`;
+  const t: Txn = {
+    when: (r.output.when ?? []).map((c) => ({ key: c.key, stamp: c.stamp })),
+    apply: (r.output.apply ?? []).map((w) =>
+      'put' in w
+        ? { key: w.put, data: w.data, ...(w.hold === null ? {} : { hold: w.hold }) }
+        : { key: w.drop, data: undefined },
+    ),
+  };
+  for (const { key: k } of [...t.when, ...t.apply])
+    if (Buffer.byteLength(k) > mostKeyBytes)
+      return `key ${k.slice(0, 40)}...: longer than ${mostKeyBytes} bytes`;
+  return t;
+}
+
+const leaseBody = v.object({ ttlMs: v.pipe(v.number(), v.integer(), v.minValue(100), v.maxValue(600_000)) });
+export function parseTtl(body: unknown): number | string {
+  const r = v.safeParse(leaseBody, body);
+  return r.success ? r.output.ttlMs : `ttlMs: ${r.issues[0].message}`;
+}
+
+export const entryOut = (k: string, e: { data: unknown; stamp: number; hold?: number }): object => ({
+  key: k,
+  data: e.data,
+  stamp: e.stamp,
+  ...(e.hold === undefined ? {} : { hold: e.hold }),
+});
+export const itemsOut = (items: Change[], more: boolean, epoch: number): object => ({
+  items,
+  hasNext: more,
+  epoch,
+});
+export const changesOut = (changes: Change[], epoch: number): object => ({
+  epoch,
+  log: changes.map((c) =>
+    c.data === undefined ? { drop: c.key, stamp: c.stamp } : { put: c.key, data: c.data, stamp: c.stamp },
+  ),
+});
+export const epochOut = (epoch: number): object => ({ epoch });
+export const conflictOut = (failed: string[], epoch: number): object => ({ failed, epoch });
+export const holdOut = (hold: number): object => ({ hold });
+export const noLease = 'no such lease';
--- a/src/wire/user.ts
+++ b/src/wire/user.ts
@@ -1,5 +1,5 @@
 import * as v from 'valibot';
-import type { JobSpec, JobState, Shape, Urgency } from '../model/job.js';
+import type { CommandSpec, JobSpec, JobState, Shape, Urgency } from '../model/job.js';
 
 const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
 const text = v.pipe(v.string(), v.minLength(1), v.maxLength(120), v.regex(/^\S+$/));
@@ -13,7 +13,19 @@
   low: 'low',
 };
 
+/** The fields of jobs that run commands on agents. */
+const commandFields = {
+  command: maybe(v.pipe(v.array(v.string()), v.minLength(1), v.maxLength(1000))),
+  env: maybe(v.record(v.pipe(v.string(), v.regex(/^[A-Za-z_]\w*$/, 'must be a name')), v.string())),
+  dir: maybe(v.pipe(v.string(), v.startsWith('/', 'must be an absolute path'))),
+  stdout: maybe(v.pipe(v.string(), v.minLength(1))),
+  stderr: maybe(v.pipe(v.string(), v.minLength(1))),
+  wallS: maybe(v.pipe(v.number(), v.finite(), v.gtValue(0))),
+  retries: maybe(v.pipe(v.number(), v.integer(), v.minValue(0), v.maxValue(1000))),
+};
+
 const submission = v.object({
+  ...commandFields,
   nameId: v.pipe(v.string(), v.regex(/^req-\d{1,20}$/)),
   jobclass: text,
   owner: text,
@@ -41,7 +53,10 @@
   const r = v.safeParse(submission, body);
   if (!r.success) return `${v.getDotPath(r.issues[0]) ?? 'body'}: ${r.issues[0].message}`;
   const b = r.output;
+  const command = commandOf(b);
+  if (typeof command === 'string') return command;
   return {
+    ...(command ? { command } : {}),
     id: b.nameId,
     class: b.jobclass,
     team: b.owner,
@@ -65,6 +80,17 @@
   };
 }
 
+function commandOf(b: v.InferOutput<typeof submission>): CommandSpec | null | string {
+  const { command, env, dir, stdout, stderr, wallS, retries } = b;
+  if (command === null) {
+    for (const [name, value] of Object.entries({ env, dir, stdout, stderr, wallS, retries }))
+      if (value !== null) return `${name}: only together with command`;
+    return null;
+  }
+  if (command[0] === '') return 'command.0: must not be empty';
+  return { argv: command, env: env ?? {}, dir, stdout, stderr, wallS, retries: retries ?? 0 };
+}
+
 export const jobPath = '/work';
 export const withdrawEnd = 'withdraw';
 
--- a/src/wire/worker.ts
+++ b/src/wire/worker.ts
@@ -22,7 +22,7 @@
 
 const counter = v.pipe(v.number(), v.integer(), v.minValue(0));
 const checkin = v.object({
-  host: v.pipe(v.string(), v.regex(/^n-\d{1,20}$/)),
+  host: v.pipe(v.string(), v.regex(/^[A-Za-z0-9][\w.-]{0,79}$/)),
   endpoint: v.pipe(v.string(), v.regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/)),
   flavour: v.string(),
   yard: v.string(),
--- /dev/null
+++ b/test/store.test.ts
@@ -0,0 +1,315 @@
+import assert from 'node:assert/strict';
+import { spawn } from 'node:child_process';
+import {
+  appendFileSync,
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+  statSync,
+  truncateSync,
+  writeFileSync,
+} from 'node:fs';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import type { StateService } from '../src/state/service.js';
+import { Store } from '../src/state/store.js';
+import {
+  EmbeddedStore,
+  Engine,
+  LevelDisk,
+  restoreSnapshot,
+  snapshotInto,
+  StoreError,
+  storeServer,
+  type Delta,
+  type Disk,
+  type Entry,
+  type Loaded,
+} from '../src/store/index.js';
+
+const quiet = (): undefined => undefined;
+const never = (e: StoreError): never => assert.fail(e.message);
+const inDir = async (use: (dir: string) => Promise<void>): Promise<void> => {
+  const dir = mkdtempSync(join(tmpdir(), 'dapplepick-store-'));
+  try {
+    await use(dir);
+  } finally {
+    rmSync(dir, { recursive: true, force: true });
+  }
+};
+const openAt = async (dir: string): Promise<Engine> => Engine.open(await LevelDisk.open(dir), quiet, never);
+const put = (key: string, n: number, hold?: number) => ({
+  key,
+  data: { n },
+  ...(hold === undefined ? {} : { hold }),
+});
+const failsWith = (kind: StoreError['kind']) => (e: unknown) => e instanceof StoreError && e.kind === kind;
+const pause = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
+
+/** Both forms of the store: in this process, and over HTTP. */
+const forms: [string, (use: (s: StateService, e: Engine) => Promise<void>) => Promise<void>][] = [
+  [
+    'embedded',
+    (use) =>
+      inDir(async (dir) => {
+        const engine = await openAt(dir);
+        await use(new EmbeddedStore(engine), engine);
+        await engine.close();
+      }),
+  ],
+  [
+    'over HTTP',
+    (use) =>
+      inDir(async (dir) => {
+        const engine = await openAt(dir);
+        const server = storeServer(engine, dir);
+        await new Promise<void>((r) => server.listen(0, '127.0.0.1', () => r()));
+        await use(new Store(`127.0.0.1:${(server.address() as AddressInfo).port}`, 2000), engine);
+        server.closeAllConnections();
+        server.close();
+        await engine.close();
+      }),
+  ],
+];
+
+for (const [form, withStore] of forms) {
+  test(`store ${form}: conditions, stamps, one revision for a transaction, what never happens is told`, () =>
+    withStore(async (s) => {
+      assert.deepEqual(
+        await s.commit({ when: [{ key: 'dp/a', stamp: 0 }], apply: [put('dp/a', 1), put('dp/b', 1)] }),
+        { r: 'ok', epoch: 1 },
+      );
+      assert.deepEqual(await s.commit({ when: [{ key: 'dp/a', stamp: 0 }], apply: [put('dp/a', 2)] }), {
+        r: 'conflict',
+        failed: ['dp/a'],
+        epoch: 1,
+      });
+      assert.deepEqual(
+        await s.commit({ when: [{ key: 'dp/a', stamp: 1 }], apply: [{ key: 'dp/b', data: undefined }] }),
+        { r: 'ok', epoch: 2 },
+      );
+      assert.deepEqual(await s.commit({ when: [{ key: 'dp/a', stamp: 1 }], apply: [] }), {
+        r: 'ok',
+        epoch: 2,
+      });
+      assert.deepEqual(await s.commit({ when: [], apply: [put('dp/c', 1, 99)] }), { r: 'unleased' });
+      const page = await s.page('');
+      assert.deepEqual(page, { items: [{ key: 'dp/a', data: { n: 1 }, stamp: 1 }], more: false, epoch: 2 });
+      assert.deepEqual(await s.changes(1, 0), {
+        changes: [{ key: 'dp/b', data: undefined, stamp: 2 }],
+        epoch: 2,
+      });
+    }));
+
+  test(`store ${form}: a lease takes its keys along, never early; renewed, it stays; ended, it goes at once`, () =>
+    withStore(async (s) => {
+      const [a, b] = [(await s.lease(300))!, (await s.lease(300))!];
+      await s.commit({ when: [], apply: [put('dp/a', 1, a), put('dp/b', 1, b)] });
+      for (let i = 0; i < 4; i++) {
+        await pause(100);
+        assert.equal(await s.renew(a), 'ok');
+      }
+      await pause(150);
+      assert.deepEqual(
+        ((await s.page('')) as { items: { key: string }[] }).items.map((i) => i.key),
+        ['dp/a'],
+      );
+      assert.equal(await s.renew(b), 'gone');
+      await s.unlease(a);
+      assert.deepEqual(((await s.page('')) as { items: unknown[] }).items, []);
+      // A key that was put again without its lease stays.
+      const c = (await s.lease(100))!;
+      await s.commit({ when: [], apply: [put('dp/c', 1, c)] });
+      await s.commit({ when: [], apply: [put('dp/c', 2)] });
+      await pause(300);
+      assert.equal(((await s.page('')) as { items: unknown[] }).items.length, 1);
+    }));
+
+  test(`store ${form}: pages in order, watches wake with what changed, old revisions are refused`, () =>
+    withStore(async (s, engine) => {
+      for (let i = 0; i < 12; i++)
+        await s.commit({
+          when: [],
+          apply: Array.from({ length: 100 }, (_, j) => put(`dp/${String(i * 100 + j).padStart(5, '0')}`, j)),
+        });
+      const first = await s.page('');
+      assert.ok(first && first !== 'busy' && first.more && first.items.length === 1000);
+      const second = await s.page(first.items[999].key);
+      assert.ok(second && second !== 'busy' && !second.more && second.items.length === 200);
+      assert.ok(second.items[0].key > first.items[999].key);
+      const waited = s.changes(12, 5000);
+      await pause(50);
+      await s.commit({ when: [], apply: [put('other/x', 1)] });
+      await s.commit({ when: [], apply: [put('dp/z', 1)] });
+      const woken = await waited;
+      assert.ok(woken && typeof woken === 'object');
+      assert.deepEqual(
+        woken.changes.map((c) => c.key),
+        ['dp/z'],
+      );
+      for (let i = 0; i < 200; i++)
+        void engine.commit({
+          when: [],
+          apply: Array.from({ length: 100 }, (_, j) => put(`dp/n${i}.${j}`, j)),
+        });
+      await engine.commit({ when: [], apply: [put('dp/last', 1)] });
+      assert.equal(await s.changes(3, 0), 'old');
+    }));
+}
+
+test('store: a process that is killed while many commit loses nothing that it has answered', () =>
+  inDir(async (dir) => {
+    const program = `
+      import { Engine, LevelDisk } from ${JSON.stringify(new URL('../src/store/index.js', import.meta.url).href)};
+      const e = await Engine.open(await LevelDisk.open(process.argv[1]), () => {}, () => process.exit(9));
+      const one = async (w) => { for (let i = 0; ; i++) {
+        const r = await e.commit({ when: [], apply: [{ key: 'k/' + w + '/' + i, data: { i } }] });
+        process.stdout.write(r.epoch + ' k/' + w + '/' + i + '\\n');
+      } };
+      for (let w = 0; w < 16; w++) void one(w);`;
+    for (let round = 0; round < 3; round++) {
+      const child = spawn(process.execPath, ['--input-type=module', '-e', program, dir], {
+        stdio: ['ignore', 'pipe', 'inherit'],
+      });
+      let said = '';
+      child.stdout.on('data', (d: Buffer) => (said += d.toString()));
+      const over = new Promise((r) => child.once('close', r));
+      while (said.length < 4000) await pause(10);
+      await pause(37 * round);
+      child.kill('SIGKILL');
+      await over;
+      const engine = await openAt(dir);
+      const lines = said.split('\n').slice(0, -1);
+      for (const l of lines) {
+        const [epoch, key] = l.split(' ');
+        assert.ok(Number(epoch) <= engine.epoch);
+        assert.ok(engine.get(key).entry, key);
+      }
+      await engine.close();
+    }
+  }));
+
+/** A disk that can fail, and loses what was not synced. */
+class FlakyDisk implements Disk {
+  readonly kept = new Map<string, Entry>();
+  epoch = 0;
+  failing = false;
+  writes = 0;
+  load(): Promise<Loaded> {
+    return Promise.resolve({ epoch: this.epoch, nextHold: 1, entries: [...this.kept], leases: [] });
+  }
+  async write(deltas: readonly Delta[]): Promise<void> {
+    this.writes++;
+    await pause(3);
+    if (this.failing) throw new StoreError('full', 'no space left');
+    for (const d of deltas) {
+      for (const [k, e] of d.puts) this.kept.set(k, e);
+      for (const k of d.drops) this.kept.delete(k);
+      this.epoch = d.epoch;
+    }
+  }
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+test('store: a full disk answers nothing as done, says so, and what was answered is there afterwards', async () => {
+  const disk = new FlakyDisk();
+  let broken: StoreError | null = null;
+  const engine = await Engine.open(disk, quiet, (e) => (broken = e));
+  const good = await Promise.all(
+    Array.from({ length: 50 }, (_, i) => engine.commit({ when: [], apply: [put(`a${i}`, i)] })),
+  );
+  assert.ok(good.every((r) => r.r === 'ok'));
+  assert.ok(disk.writes <= 3, `${disk.writes} writes for 50 commits at once`);
+  disk.failing = true;
+  const bad = await Promise.all([
+    engine.commit({ when: [], apply: [put('b', 1)] }),
+    engine.commit({ when: [], apply: [put('c', 1)] }),
+  ]);
+  assert.deepEqual(bad, [{ r: 'unknown' }, { r: 'unknown' }]);
+  assert.equal((broken as StoreError | null)?.kind, 'full');
+  assert.equal(engine.get('b').entry, undefined);
+  assert.deepEqual(await engine.commit({ when: [], apply: [put('d', 1)] }), { r: 'unknown' });
+  disk.failing = false;
+  const again = await Engine.open(disk, quiet, never);
+  assert.equal(again.get('a49').entry?.stamp, 50);
+  assert.deepEqual(await again.commit({ when: [{ key: 'b', stamp: 0 }], apply: [put('b', 1)] }), {
+    r: 'ok',
+    epoch: 51,
+  });
+});
+
+test('store: readers and refusals see only what is durable', async () => {
+  const disk = new FlakyDisk();
+  const engine = await Engine.open(disk, quiet, never);
+  const first = engine.commit({ when: [], apply: [put('a', 1)] });
+  const refused = engine.commit({ when: [{ key: 'a', stamp: 0 }], apply: [put('a', 2)] });
+  assert.equal(engine.get('a').entry, undefined);
+  assert.equal((await first).r, 'ok');
+  assert.deepEqual(await refused, { r: 'conflict', failed: ['a'], epoch: 1 });
+  assert.equal(disk.epoch, 1);
+});
+
+test('store: a second process, another format, a foreign or damaged directory: one clear error each', () =>
+  inDir(async (dir) => {
+    const at = join(dir, 's');
+    const engine = await openAt(at);
+    await assert.rejects(openAt(at), failsWith('locked'));
+    for (let i = 0; i < 300; i++) await engine.commit({ when: [], apply: [put(`k${i}`, i)] });
+    await engine.close();
+    const db = join(at, 'db');
+    const halve = (ending: RegExp): void => {
+      const files = readdirSync(db)
+        .filter((f) => ending.test(f))
+        .map((f) => join(db, f));
+      const largest = files.sort((a, b) => statSync(b).size - statSync(a).size)[0];
+      truncateSync(largest, Math.floor(statSync(largest).size / 2));
+    };
+    // The log loses its end, as after a fault of the disk: what was answered is missing, and that is noticed.
+    halve(/\.log$/);
+    await assert.rejects(openAt(at), failsWith('damaged'));
+    const other = join(dir, 'o');
+    const once = await openAt(other);
+    for (let i = 0; i < 300; i++) await once.commit({ when: [], apply: [put(`k${i}`, i)] });
+    await once.close();
+    const again = await openAt(other);
+    assert.equal(again.epoch, 300);
+    await again.close();
+    for (const f of readdirSync(join(other, 'db')))
+      if (f.endsWith('.ldb')) truncateSync(join(other, 'db', f), 100);
+    await assert.rejects(openAt(other), failsWith('damaged'));
+    const foreign = join(dir, 'f');
+    writeFileSync(foreign, 'x');
+    await assert.rejects(openAt(foreign), (e) => e instanceof StoreError);
+  }));
+
+test('store: a snapshot is one moment, restores whole, and is refused when it is cut short or changed', () =>
+  inDir(async (dir) => {
+    const engine = await openAt(join(dir, 'a'));
+    for (let i = 0; i < 1200; i++) void engine.commit({ when: [], apply: [put(`k${i}`, i)] });
+    await engine.commit({ when: [], apply: [put('z', 1)] });
+    const writing = snapshotInto(engine, join(dir, 'a'));
+    await engine.commit({ when: [], apply: [put('later', 1)] });
+    const snap = await writing;
+    assert.equal(snap.keys, 1201);
+    await engine.close();
+    await restoreSnapshot(snap.path, join(dir, 'b'));
+    const b = await openAt(join(dir, 'b'));
+    assert.equal(b.epoch, snap.epoch);
+    assert.equal(b.get('later').entry, undefined);
+    assert.deepEqual(b.get('k7').entry, { data: { n: 7 }, stamp: 8 });
+    await b.close();
+    await assert.rejects(restoreSnapshot(snap.path, join(dir, 'b')), failsWith('foreign'));
+    const text = readFileSync(snap.path, 'utf8');
+    const cut = join(dir, 'cut');
+    writeFileSync(cut, text.slice(0, text.length / 2));
+    await assert.rejects(restoreSnapshot(cut, join(dir, 'c')), failsWith('damaged'));
+    const changed = join(dir, 'changed');
+    writeFileSync(changed, text.replace('["k7",{"n":7}', '["k7",{"n":8}'));
+    await assert.rejects(restoreSnapshot(changed, join(dir, 'd')), failsWith('damaged'));
+    appendFileSync(cut, '');
+  }));
