--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -28,8 +28,8 @@
 
 /** Answers that come later are given up (the protocol's limit). */
 const answerMs = 4000;
-/** Reports follow each other at least so far apart. */
-const leastMs = 500;
+/** Reports follow each other at least so far apart: a share of their interval. */
+const leastShare = 1 / 8;
 const seqBlock = 10_000;
 const tickMs = 100;
 const mostBody = 1024 * 1024;
@@ -56,6 +56,8 @@
   private target = 0;
   private failures = 0;
   private soon = false;
+  /** Ends the wait for the next report's turn. */
+  private wake: () => void = () => undefined;
   private forgotten = 0;
   private readonly timers = new Set<NodeJS.Timeout>();
   private stopped = false;
@@ -74,7 +76,7 @@
     this.self = known ?? { id: randomBytes(8).toString('hex'), host: null, session: 1, token: 0, seqFrom: 0 };
     if (!known) this.records.saveSelf(this.self);
     this.boot = bootId();
-    this.lease = new Lease(settings.directory, this.boot);
+    this.lease = new Lease(settings.directory, this.boot, this.self.id);
     this.clients = settings.controls.map((addr) => new HttpClient(addr, 2));
     const events = {
       ended: (task: HeldTask, result: TaskResult, saved: boolean) => this.ended(task, result, saved),
@@ -105,6 +107,7 @@
   stop(): void {
     this.stopped = true;
     for (const t of this.timers) clearTimeout(t);
+    if (this.runner.idle) this.lease.unwatch();
     this.runner.close();
     this.standIns.close();
     this.server.close();
@@ -138,25 +141,41 @@
       await this.pause(pauseMs(this.retry, ++this.failures, this.random));
     if (this.stopped) return;
     this.failures = 0;
-    const ticker = setInterval(() => this.carryOut(this.worker!.tick(performance.now())), tickMs);
+    const ticker = setInterval(() => {
+      const effects = this.worker!.tick(performance.now());
+      if (effects.length === 0) return;
+      // Guards against tasks of the next session that nobody watches over.
+      this.lease.lapsed();
+      this.carryOut(effects);
+    }, tickMs);
     this.timers.add(ticker);
     while (!this.stopped) {
       const sentAt = performance.now();
-      const after = await this.checkin();
-      if (this.soon) {
-        this.soon = false;
-        await this.pause(Math.max(0, leastMs - (performance.now() - sentAt)));
-      } else await this.untilNews(after);
+      await this.untilNews(await this.checkin());
+      const least = this.joined!.reportS * 1000 * leastShare;
+      await this.pause(Math.max(0, least - (performance.now() - sentAt)));
+      this.soon = false;
     }
   }
 
-  /** Waits, but not when there is something to tell. */
-  private async untilNews(ms: number): Promise<void> {
-    const until = performance.now() + ms;
-    await this.pause(Math.min(ms, leastMs));
-    while (!this.stopped && !this.soon && performance.now() < until)
-      await this.pause(Math.min(tickMs, Math.max(1, until - performance.now())));
-    this.soon = false;
+  /** Waits for the next turn, or for something to tell. */
+  private untilNews(ms: number): Promise<void> {
+    if (this.soon || ms <= 0) return Promise.resolve();
+    return new Promise<void>((resolve) => {
+      const timer = setTimeout(() => this.wake(), ms);
+      this.timers.add(timer);
+      this.wake = () => {
+        this.wake = () => undefined;
+        clearTimeout(timer);
+        this.timers.delete(timer);
+        resolve();
+      };
+    });
+  }
+
+  private tellSoon(): void {
+    this.soon = true;
+    this.wake();
   }
 
   private async join(): Promise<boolean> {
@@ -263,12 +282,11 @@
   private ended(task: HeldTask, result: TaskResult, saved: boolean): void {
     const why = result.reason === 'stopped' ? 'stopped' : result.exit === 0 ? 'done' : 'error';
     this.carryOut(this.worker!.exited(task, why, result, saved));
-    this.saveTask(task);
-  }
-
-  private saveTask(task: HeldTask): void {
-    const job = this.jobOf.get(task) ?? null;
-    this.records.save({ task, job, startedAt: 0, startedUptimeS: 0, boot: this.boot });
+    const job = this.jobOf.get(task);
+    // Guards against a record that nobody clears: of a task that was forgotten meanwhile, nothing is kept. What a stand-in
+    // did has left nothing behind: if its end is lost with the agent, it is played again.
+    if (job?.command && this.worker!.holds(task))
+      this.records.save({ task, job, startedAt: 0, startedUptimeS: 0, boot: this.boot });
   }
 
   // ---- what the worker wants ----
@@ -277,7 +295,7 @@
     for (const e of effects)
       switch (e.e) {
         case 'soon':
-          this.soon = true;
+          this.tellSoon();
           break;
         case 'remember':
           this.remember();
@@ -298,12 +316,15 @@
           if (this.standIns.has(e.task)) this.standIns.stop(e.task, e.graceS);
           else this.runner.stop(e.task, e.graceS);
           break;
-        case 'forget':
-          this.records.forget(e.task);
+        case 'forget': {
+          const plays = this.jobOf.get(e.task)?.command === null;
           this.jobOf.delete(e.task);
+          if (plays) break;
+          this.records.forget(e.task);
           // Looking through all of them costs: not for each task that is over.
           if (++this.forgotten % pruneEvery === 0) this.records.prune(keptOutputs);
           break;
+        }
       }
   }
 
@@ -363,6 +384,8 @@
         return reply(res, 400, { error: 'baton and tenure are needed' });
       const effects = this.worker.ordered(o.token, o.session, o.orders);
       if (effects) this.carryOut(effects);
+      // Nothing to do, but something that only an answer to a report may tell.
+      if (effects && o.orders.length === 0) this.tellSoon();
       return reply(res, effects ? 200 : 409, agentReportOut(this.worker.report()));
     }
     if (req.method === 'GET' && url.pathname === '/output') return this.output(url.searchParams, res);
--- a/src/agent/lease.ts
+++ b/src/agent/lease.ts
@@ -7,8 +7,9 @@
 /**
  * (`kill -KILL -- -PID` is an error to dash: -s it must be, or tasks of an agent that is gone outlive their lease.)
  *
- * Looks once a second whether the agent's lease still holds, also when the agent is gone; ends all of its tasks' groups when
- * it does not. Arguments: the agent's directory. It ends by itself once nothing runs any more that it would have to end.
+ * Looks once a second whether the agent's lease still holds, also when the agent is gone; when it does not, it ends all of
+ * its tasks' groups, and then whatever carries the agent's mark: that has left its group. Several times, for what is being
+ * started meanwhile. Arguments: the agent's directory and id.
  */
 const watchdog = `
 cd "$1" || exit 0
@@ -18,6 +19,11 @@
   read up rest < /proc/uptime
   if [ "\${up%.*}" -gt "$until" ]; then
     for f in tasks/*/pid; do [ -f "$f" ] && kill -s KILL -- "-$(cat "$f")" 2>/dev/null; done
+    for round in 1 2 3; do
+      for e in /proc/[0-9]*/environ; do
+        tr '\\0' '\\n' < "$e" 2>/dev/null | grep -q "^${markName}=$2/" && p=\${e#/proc/} && kill -s KILL "\${p%/environ}" 2>/dev/null
+      done
+    done
     exit 0
   fi
 done
@@ -34,6 +40,7 @@
   constructor(
     private readonly dir: string,
     private readonly boot: string,
+    private readonly agentId: string,
   ) {
     this.path = join(dir, 'lease');
   }
@@ -57,10 +64,10 @@
   /** Starts the watchdog, in the place of the one of an earlier process. */
   watch(): void {
     if (this.watched) return;
+    this.unwatch();
     this.watched = true;
-    const mark = `watchdog:${this.dir}`;
-    for (const { pid } of marked(mark)) signal(pid, 'SIGKILL');
-    const child = spawn('/bin/sh', ['-c', watchdog, 'dapplepick', this.dir], {
+    const mark = this.mark;
+    const child = spawn('/bin/sh', ['-c', watchdog, 'dapplepick', this.dir, this.agentId], {
       detached: true,
       stdio: 'ignore',
       env: { PATH: process.env['PATH'] ?? '/usr/bin:/bin', [markName]: mark },
@@ -68,4 +75,19 @@
     child.on('error', () => undefined);
     child.unref();
   }
+
+  private get mark(): string {
+    return `watchdog:${this.dir}`;
+  }
+
+  /** It ran out: the watchdog has ended with it, or is about to. */
+  lapsed(): void {
+    this.watched = false;
+  }
+
+  /** Nothing runs that would have to be ended. */
+  unwatch(): void {
+    this.watched = false;
+    for (const { pid, mark } of marked(this.mark)) if (mark === this.mark) signal(pid, 'SIGKILL');
+  }
 }
--- a/src/agent/records.ts
+++ b/src/agent/records.ts
@@ -8,6 +8,7 @@
   readFileSync,
   renameSync,
   rmSync,
+  statSync,
   writeSync,
 } from 'node:fs';
 import { join } from 'node:path';
@@ -98,6 +99,9 @@
   prune(keep: number): void {
     const over = readdirSync(this.tasksDir).filter((n) => !existsSync(join(this.tasksDir, n, 'task.json')));
     if (over.length <= keep) return;
+    // Last changed when its record went: that is how long it has been over.
+    const since = new Map(over.map((n) => [n, statSync(join(this.tasksDir, n)).mtimeMs]));
+    over.sort((a, b) => since.get(a)! - since.get(b)!);
     for (const name of over.slice(0, over.length - keep))
       rmSync(join(this.tasksDir, name), { recursive: true, force: true });
   }
--- a/src/agent/runner.ts
+++ b/src/agent/runner.ts
@@ -43,12 +43,19 @@
   pid: number | null;
   /** Why it is being ended. */
   ending: { reason: ResultReason; killAt: number; killed: boolean } | null;
+  /** Its command is over; what it left behind is being looked for. */
+  over: boolean;
 }
 
+/** Commands that end within so many ms are cleared up together: looking through all processes costs. */
+const togetherMs = 20;
+
 /** Runs commands, in a process group for each, and sees to it that they keep their limits and end. */
 export class Runner {
   private readonly running = new Map<HeldTask, Running>();
+  private readonly leaving = new Map<Running, Pick<TaskResult, 'exit' | 'signal' | 'reason'>>();
   private readonly timer: NodeJS.Timeout;
+  private clearing: NodeJS.Timeout | null = null;
 
   constructor(
     private readonly records: Records,
@@ -62,9 +69,14 @@
   /** Ends what the runner does; what it started goes on. */
   close(): void {
     clearInterval(this.timer);
+    if (this.clearing) clearTimeout(this.clearing);
     for (const r of this.running.values()) r.child?.unref();
   }
 
+  get idle(): boolean {
+    return this.running.size === 0;
+  }
+
   private mark(t: HeldTask): string {
     return `${this.settings.agentId}/${t.job}/${t.index}/${t.attempt}`;
   }
@@ -81,7 +93,7 @@
     this.records.save(record);
     const { command } = job;
     const dir = this.records.dirOf(task);
-    const r: Running = { record, job, child: null, pid: null, ending: null };
+    const r: Running = { record, job, child: null, pid: null, ending: null, over: false };
     this.running.set(task, r);
     if (!command) return this.fail(r, 'cannot run');
     let out = -1;
@@ -130,7 +142,7 @@
   adopt(record: TaskRecord, job: AgentJob, boot: string): void {
     const { task } = record;
     const dir = this.records.dirOf(task);
-    const r: Running = { record, job, child: null, pid: null, ending: null };
+    const r: Running = { record, job, child: null, pid: null, ending: null, over: false };
     this.running.set(task, r);
     let unclaimed = false;
     try {
@@ -176,21 +188,16 @@
   private kill(r: Running): void {
     if (r.ending) r.ending.killed = true;
     if (r.pid !== null) signal(-r.pid, 'SIGKILL');
-    this.killMarked(r);
     // Of a task that was found again no end is told to us.
     if (!r.child) this.over(r, null, 'SIGKILL');
   }
 
-  /** What has left the group, by its mark. */
-  private killMarked(r: Running): void {
-    for (const { pid } of marked(this.mark(r.record.task))) signal(pid, 'SIGKILL');
-  }
-
   private look(): void {
     if (this.running.size === 0) return;
     const by = groups();
     const now = performance.now();
     for (const r of [...this.running.values()]) {
+      if (r.over) continue;
       const members = r.pid === null ? [] : (by.get(r.pid) ?? []);
       if (!r.child && members.length === 0) {
         this.over(r, null, null);
@@ -252,17 +259,33 @@
 
   /** The shim has ended: what the command left behind is ended, too. */
   private over(r: Running, code: number | null, sig: NodeJS.Signals | null): void {
-    if (!this.running.has(r.record.task)) return;
+    if (r.over || !this.running.has(r.record.task)) return;
+    r.over = true;
     if (r.pid !== null) signal(-r.pid, 'SIGKILL');
-    this.killMarked(r);
     const written = this.exitCode(r);
     const exit = written ?? code;
     const reason = r.ending?.reason ?? (exit === null ? 'lost' : 'exited');
     // A shell tells a signal by 128 more than its number.
     if (exit !== null && exit > 128 && exit <= 192)
-      this.finish(r, { exit: null, signal: signalName(exit - 128), reason });
+      this.leaving.set(r, { exit: null, signal: signalName(exit - 128), reason });
     else
-      this.finish(r, { exit, signal: exit === null ? (sig ?? (r.ending ? 'SIGKILL' : null)) : null, reason });
+      this.leaving.set(r, {
+        exit,
+        signal: exit === null ? (sig ?? (r.ending ? 'SIGKILL' : null)) : null,
+        reason,
+      });
+    this.clearing ??= setTimeout(() => this.clearUp(), togetherMs);
+  }
+
+  /** Ends what has left the groups of commands that are over, and only then tells of their ends. */
+  private clearUp(): void {
+    this.clearing = null;
+    const over = new Set([...this.leaving.keys()].map((r) => this.mark(r.record.task)));
+    for (const { pid, mark } of marked(`${this.settings.agentId}/`))
+      if (over.has(mark)) signal(pid, 'SIGKILL');
+    const all = [...this.leaving];
+    this.leaving.clear();
+    for (const [r, how] of all) this.finish(r, how);
   }
 
   private finish(r: Running, how: Pick<TaskResult, 'exit' | 'signal' | 'reason'>): void {
--- a/src/agent/worker.ts
+++ b/src/agent/worker.ts
@@ -53,6 +53,10 @@
     return this.held.values();
   }
 
+  holds(task: HeldTask): boolean {
+    return this.held.get(keyOf(task)) === task;
+  }
+
   get session(): number {
     return this.memory.session;
   }
--- a/src/control/api.ts
+++ b/src/control/api.ts
@@ -30,7 +30,7 @@
         void this.takeSnapshot(res);
         return true;
       case 'GET machines/1/':
-        reply(res, 200, { machines: this.machines() });
+        reply(res, 200, { machines: this.machines(), owner: this.control.owner });
         return true;
       case 'POST machines/3/drain':
       case 'POST machines/3/forget':
@@ -40,7 +40,7 @@
         reply(res, 200, this.list(q));
         return true;
       case 'GET work/3/tasks':
-        this.tasks(part[1], res);
+        void this.reading(res, part[1], () => this.tasks(part[1], res));
         return true;
       case 'GET work/3/job': {
         const job = this.control.agentJob(part[1]);
@@ -48,12 +48,22 @@
         return true;
       }
       case 'GET work/4/output':
-        this.output(part[1], Number(part[3]), q, res);
+        void this.reading(res, part[1], () => this.output(part[1], Number(part[3]), q, res));
         return true;
     }
     return false;
   }
 
+  /** What another control service may have recorded is read first. */
+  private async reading(res: ServerResponse, job: string, then: () => void): Promise<void> {
+    try {
+      await this.control.refresh(job);
+    } catch (e) {
+      return reply(res, 503, { error: String((e as Error).message) }, { 'Retry-After': 1 });
+    }
+    then();
+  }
+
   private async join(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const joining = parseJoining(await readJson(req, mostBody));
     if (typeof joining === 'string') return reply(res, 400, { error: joining });
@@ -89,9 +99,11 @@
         ? 'forgotten'
         : m.drainedAt !== null
           ? 'draining'
-          : missing
-            ? 'missing'
-            : 'up';
+          : !this.control.owns
+            ? 'reports elsewhere'
+            : missing
+              ? 'missing'
+              : 'up';
       return {
         host: m.host,
         name: m.name,
--- a/src/control/books.ts
+++ b/src/control/books.ts
@@ -11,12 +11,25 @@
 /** A commit that did not go through; whoever asked for it is told to come again. */
 export class NotWritten extends Error {}
 
-/** Puts keys, whatever they were. An answer that is lost is asked for again: the same values twice are the same. */
-export async function put(kv: Kv, entries: [string, Record<string, unknown> | undefined][]): Promise<void> {
+/** A key that must be as it was. */
+export interface Guard {
+  key: string;
+  stamp: number;
+}
+
+/**
+ * Puts keys, if the guards hold. An answer that is lost is asked for again: the same values twice are the same. (Then a guard
+ * that is among the keys fails, and it is told as not written: whoever asked reads it before anything else.)
+ */
+export async function put(
+  kv: Kv,
+  entries: [string, Record<string, unknown> | undefined][],
+  guards: Guard[] = [],
+): Promise<void> {
   for (let i = 0; i < tries; i++) {
-    const o = await kv.commit({ when: [], apply: entries.map(([key, data]) => ({ key, data })) });
+    const o = await kv.commit({ when: guards, apply: entries.map(([key, data]) => ({ key, data })) });
     if (o.r === 'ok') return;
-    if (o.r === 'malformed') break;
+    if (o.r === 'malformed' || o.r === 'conflict') break;
   }
   throw new NotWritten('the store did not take it');
 }
--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -1,5 +1,6 @@
 import { defaults } from '../config/operators.js';
 import type { Log } from '../core/effects.js';
+import { shardKey } from '../core/keys.js';
 import type { JobSpec } from '../model/job.js';
 import type { Report } from '../model/report.js';
 import { Service } from '../service.js';
@@ -7,12 +8,14 @@
 import type { FrontHooks } from '../users/server.js';
 import { parseResults, type AgentJob, type TaskResult } from '../wire/agentside.js';
 import { Api } from './api.js';
-import { NotWritten, type Kv } from './books.js';
+import { NotWritten, type Guard, type Kv } from './books.js';
 import { Gangs } from './gangs.js';
 import { Pool } from './pool.js';
 import { Results } from './results.js';
 import { platformOf, type ControlSettings } from './settings.js';
 
+/** Where the store is shared, the pool is read again after so many reports. */
+const poolReports = 2;
 /** How long a stand-in sleeps when its class says nothing, and its owner neither, s. */
 const plainSleepS = 1;
 
@@ -29,6 +32,10 @@
   private readonly api: Api;
   /** Gangs that a machine's next answer tells to go. */
   private readonly go = new Map<string, string[]>();
+  /** The grant under which the results were read last, by its stamp: after another owner they are others. */
+  private readUnder = -1;
+  private reading: Promise<void> | null = null;
+  private poolTimer: NodeJS.Timeout | null = null;
 
   constructor(
     readonly settings: ControlSettings,
@@ -44,7 +51,7 @@
     const operators = {
       ...defaults,
       'node-lease-ratio': nodeLeaseRatio,
-      'round-s': Math.min(1, settings.reportS / 4),
+      'round-s': Math.min(1, settings.reportS / 8),
     };
     const hooks: FrontHooks = {
       serve: (req, res, path) => this.api.serve(req, res, path),
@@ -53,6 +60,7 @@
     };
     this.service = new Service(platform, operators, log, { state, cloud: this.pool, hooks });
     this.api = new Api(this, snapshot);
+    this.pool.onForgotten = (host) => this.service.push({ c: 'forget', host });
     this.pool.onTypes = () =>
       void this.pool.types().then((types) => this.service.push({ c: 'types', types }));
   }
@@ -61,12 +69,49 @@
     await this.pool.load();
     await this.results.load();
     await this.service.start();
+    if (this.settings.store === null) return;
+    // Others may share the store: drained and forgotten by them is drained and forgotten.
+    const everyMs = this.settings.reportS * poolReports * 1000;
+    this.poolTimer = setInterval(() => void this.pool.load().catch(() => undefined), everyMs);
   }
 
   stop(): void {
+    if (this.poolTimer) clearInterval(this.poolTimer);
     this.service.stop();
   }
 
+  /** The control service that has the work; null: nobody just now. */
+  get owner(): string | null {
+    return this.service.controller.replica.shards.get(0)?.owner ?? null;
+  }
+
+  /** Whether the work is with this process, as far as it knows. What it writes about it is guarded by the grant. */
+  get owns(): boolean {
+    return this.service.controller.dispatcher.owned.size > 0;
+  }
+
+  /** The results as they are: the owner has them, others read them. */
+  async refresh(job: string): Promise<void> {
+    if (this.owns) await this.takeOver();
+    else await this.results.load(job);
+  }
+
+  /**
+   * Guards against results of an earlier owner that were not seen here: read once more under each grant. What an earlier
+   * owner writes later than that fails at its grant.
+   */
+  private async takeOver(): Promise<Guard[]> {
+    const stamp = this.service.controller.replica.shards.get(0)?.stamp ?? 0;
+    if (this.readUnder !== stamp) {
+      this.reading ??= this.results
+        .load()
+        .then(() => void (this.readUnder = stamp))
+        .finally(() => (this.reading = null));
+      await this.reading;
+    }
+    return [{ key: shardKey(0), stamp }];
+  }
+
   private spec(id: string): JobSpec | null {
     return this.service.controller.replica.jobs.get(id)?.spec ?? null;
   }
@@ -83,12 +128,15 @@
     pass: (report: Report) => void,
     refuse: (status: number, body: object) => void,
   ): Promise<void> {
-    const member = this.pool.get(report.host);
-    if (!member)
-      return refuse(410, { error: `${report.host}: not known here: it has left or was forgotten` });
-    if (member.forgotten) return refuse(410, { error: `${report.host}: forgotten by an operator` });
-    this.pool.heard(report.host, report.endpoint);
+    let member;
     try {
+      member = await this.pool.known(report.host);
+      if (!member)
+        return refuse(410, { error: `${report.host}: not known here: it has left or was forgotten` });
+      if (member.forgotten) return refuse(410, { error: `${report.host}: forgotten by an operator` });
+      // Not ours: the core sends it on to the owner.
+      if (!this.owns) return pass(report);
+      this.pool.heard(report.host, report.endpoint);
       await this.recordEnds(raw, report);
     } catch (e) {
       if (e instanceof NotWritten) return refuse(503, { error: e.message });
@@ -106,13 +154,14 @@
     const ended = new Map<string, TaskResult>();
     for (const r of parseResults(raw)) ended.set(`${r.piece} ${r.attempt}`, r.result);
     if (ended.size === 0) return;
+    const guards = await this.takeOver();
     await Promise.all(
       report.tasks.map(async (t) => {
         const result = ended.get(`${t.job}/${t.index} ${t.attempt}`);
         if (t.phase !== 'exited' || !result) return;
         const spec = this.spec(t.job);
         const job = { id: t.job, retries: spec?.command?.retries ?? 0, gang: spec?.shape === 'gang' };
-        const verdict = await this.results.record(job, t.index, t.attempt, report.host, result);
+        const verdict = await this.results.record(job, t.index, t.attempt, report.host, result, guards);
         t.why = verdict === 'done' ? 'done' : 'stopped';
       }),
     );
--- a/src/control/pool.ts
+++ b/src/control/pool.ts
@@ -3,7 +3,7 @@
 import type { MachineType } from '../model/machine.js';
 import type { Joining } from '../wire/agentside.js';
 import type { ListedMachine } from '../wire/cloud.js';
-import { put, type Kv } from './books.js';
+import { NotWritten, put, type Guard, type Kv } from './books.js';
 
 /** What is kept of an agent. */
 export interface PoolRecord extends Joining {
@@ -29,9 +29,13 @@
 /** The agents, in the place of rented machines: they come and go by themselves. */
 export class Pool implements CloudService {
   private readonly members = new Map<string, Member>();
-  private count = 0;
+  /** Being read: several agents may ask at once. */
+  private reading: Promise<void> | null = null;
+  private joining: Promise<unknown> = Promise.resolve();
   /** Called when a type of machine is new. */
   onTypes: () => void = () => undefined;
+  /** Called when a person has told another control service that a machine is gone. */
+  onForgotten: (host: string) => void = () => undefined;
 
   constructor(
     private readonly kv: Kv,
@@ -41,15 +45,33 @@
     private readonly log: Log,
   ) {}
 
-  async load(): Promise<void> {
+  /** Reads it anew: other control services on the same store change it, too. */
+  load(): Promise<void> {
+    this.reading ??= this.read().finally(() => (this.reading = null));
+    return this.reading;
+  }
+
+  private async read(): Promise<void> {
+    const types = new Set([...this.members.values()].map((m) => m.type));
     const records = await this.kv.list(prefix);
-    const counts = await this.kv.list(countKey);
-    if (!records || !counts) throw new Error('the store does not answer');
+    if (!records) throw new NotWritten('the store does not answer');
+    const seen = new Set<string>();
     for (const { data } of records) {
       const r = data as PoolRecord;
-      this.members.set(r.host, { ...r, heardAt: null, endpoint: null });
+      const before = this.members.get(r.host);
+      const { heardAt, endpoint } = before ?? { heardAt: null, endpoint: null };
+      this.members.set(r.host, { ...r, heardAt, endpoint });
+      seen.add(r.host);
+      if (r.forgotten && before && !before.forgotten) this.onForgotten(r.host);
     }
-    this.count = (counts[0]?.data as { n?: number } | undefined)?.n ?? 0;
+    for (const host of [...this.members.keys()]) if (!seen.has(host)) this.members.delete(host);
+    if ([...this.members.values()].some((m) => !types.has(m.type))) this.onTypes();
+  }
+
+  /** A machine, also one that joined through another control service a moment ago. */
+  async known(host: string): Promise<Readonly<Member> | undefined> {
+    if (!this.members.has(host)) await this.load();
+    return this.members.get(host);
   }
 
   all(): Iterable<Readonly<Member>> {
@@ -71,7 +93,18 @@
   }
 
   /** An agent joins, or comes back: the answer is its machine's name, or why it is not let in. */
-  async join(j: Joining): Promise<{ host: string } | { refused: string }> {
+  join(j: Joining): Promise<{ host: string } | { refused: string }> {
+    // Guards against a thousand agents that come at once and all fail at each other's count.
+    const turn = this.joining.then(() => this.letIn(j));
+    this.joining = turn.catch(() => undefined);
+    return turn;
+  }
+
+  private async letIn(j: Joining): Promise<{ host: string } | { refused: string }> {
+    const counts = await this.kv.list(countKey);
+    if (!counts) throw new NotWritten('the store does not answer');
+    // In this order: whoever joins after the count was read changes it, and then this does not go through.
+    await this.read();
     if (!this.zones.includes(j.zone))
       return { refused: `zone ${j.zone}: not one of ${this.zones.join(', ')}` };
     const alike = [...this.members.values()].find((m) => m.type === j.type);
@@ -88,7 +121,8 @@
       if (m.heardAt !== null && this.now() - m.heardAt < this.aliveMs)
         return { refused: `${j.name}: another agent has that name and is alive` };
     }
-    const n = ++this.count;
+    const n = ((counts[0]?.data as { n?: number } | undefined)?.n ?? 0) + 1;
+    const guard: Guard = { key: countKey, stamp: counts[0]?.stamp ?? 0 };
     const record: PoolRecord = {
       ...j,
       host: `${j.name}.${n}`,
@@ -96,10 +130,15 @@
       drainedAt: null,
       forgotten: false,
     };
-    await put(this.kv, [
-      [countKey, { n }],
-      [keyOf(record.host), { ...record }],
-    ]);
+    // Guards against one machine's name given to two agents by two control services.
+    await put(
+      this.kv,
+      [
+        [countKey, { n }],
+        [keyOf(record.host), { ...record }],
+      ],
+      [guard],
+    );
     this.members.set(record.host, { ...record, heardAt: this.now(), endpoint: null });
     this.log('info', 'agent joined', { host: record.host, type: record.type, zone: record.zone });
     if (!alike) this.onTypes();
--- a/src/control/results.ts
+++ b/src/control/results.ts
@@ -1,6 +1,6 @@
 import { pieceName } from '../model/job.js';
 import type { TaskResult } from '../wire/agentside.js';
-import { put, type Kv } from './books.js';
+import { NotWritten, put, type Guard, type Kv } from './books.js';
 
 /** How an attempt ended, as it is kept. */
 export interface KeptResult extends TaskResult {
@@ -25,17 +25,22 @@
 
 /** The results of all tasks: one for each, the newest; kept for ever, like final states. */
 export class Results {
-  private readonly kept = new Map<string, KeptResult>();
+  private kept = new Map<string, KeptResult>();
   /** Being written: the same report may come again meanwhile. */
   private readonly writing = new Map<string, Promise<void>>();
   /** Of each job: tasks that failed for good. */
-  private readonly failed = new Map<string, number>();
+  private failed = new Map<string, number>();
 
   constructor(private readonly kv: Kv) {}
 
-  async load(): Promise<void> {
-    const all = await this.kv.list(prefix);
-    if (!all) throw new Error('the store does not answer');
+  /** Reads them anew: all, or those of one job. */
+  async load(job: string | null = null): Promise<void> {
+    const all = await this.kv.list(job === null ? prefix : `${prefix}${job}/`);
+    if (!all) throw new NotWritten('the store does not answer');
+    if (job === null) {
+      this.kept = new Map();
+      this.failed = new Map();
+    }
     for (const { key, data } of all) {
       const [, job, index] = key.split('/');
       this.keep(job, Number(index), data as KeptResult);
@@ -69,6 +74,7 @@
     attempt: number,
     host: string,
     result: TaskResult,
+    guards: Guard[],
   ): Promise<Verdict> {
     const name = pieceName(job.id, index);
     await this.writing.get(name);
@@ -86,7 +92,7 @@
       final,
       failures,
     };
-    const write = put(this.kv, [[keyOf(job.id, index), { ...kept }]]);
+    const write = put(this.kv, [[keyOf(job.id, index), { ...kept }]], guards);
     this.writing.set(name, write);
     try {
       await write;
--- a/src/core/books/books.ts
+++ b/src/core/books/books.ts
@@ -32,6 +32,8 @@
   readonly activeBy = new Map<number, number>();
   /** Placements to be stopped whose workers have not been told straight away yet. */
   readonly unsentStops = new Set<Placement>();
+  /** Starts that wait for the next report of their machines; kept in a pool only. */
+  readonly unsentStarts = new Set<Placement>();
   readonly claims: Claims;
   readonly hazard: HazardEstimate;
   readonly writer: Writer;
@@ -220,7 +222,9 @@
       }
       const chunk = chunkOf(job, a.index);
       if (attempt !== undefined) chunk.last = Math.max(chunk.last, attempt);
-      this.enter(job, chunk, { index: a.index, attempt: attempt ?? ++chunk.last, host: a.host }, true);
+      const own = { index: a.index, attempt: attempt ?? ++chunk.last, host: a.host };
+      const placement = this.enter(job, chunk, own, true);
+      if (this.settings.pool) this.unsentStarts.add(placement);
       // On its way: tasks that come later share the fetch.
       const m = this.machines.get(a.host);
       if (m) m.images.set(job.spec.image, fetchS(job.spec, m.type));
--- a/src/core/checkins.ts
+++ b/src/core/checkins.ts
@@ -183,6 +183,26 @@
       if (p.job.spec.shape !== 'gang') this.books.stop(p, p.job.spec.saveS);
   }
 
+  /**
+   * In a pool, machines are asked for a report when there is something to start on them. The starts themselves go with its
+   * answer: sent straight, one could be carried out after a report that was on its way then, and that lists nothing, had
+   * been taken for proof that it is not there.
+   */
+  askForReports(out: Effect[]): void {
+    const { unsentStarts } = this.books;
+    if (unsentStarts.size === 0) return;
+    const wanted = new Set<MachineRun>();
+    for (const p of unsentStarts) {
+      const gone = p.job.active.get(p.index) !== p;
+      if (!gone && p.sent === null && !this.startable(p)) continue;
+      unsentStarts.delete(p);
+      const m = this.books.machines.get(p.host);
+      if (!gone && p.sent === null && m && m.endpoint !== '' && m.provenAt > 0) wanted.add(m);
+    }
+    for (const m of wanted)
+      out.push(straight(m, []));
+  }
+
   /**
    * Stops that a worker has not been told yet, to be sent straight to it: a cancelled task is of no use to
    * anybody, and a gang's tasks must hear of an orderly stop at about the same time.
@@ -204,17 +224,19 @@
       orders.push({ op: 'stop', job: p.job.id, index: p.index, attempt: p.attempt, graceS: p.stop.graceS });
     }
     for (const [m, orders] of byMachine)
-      out.push({
-        e: 'order',
-        host: m.host,
-        endpoint: m.endpoint,
-        token: m.token,
-        session: m.session,
-        orders,
-      });
+      out.push(straight(m, orders));
   }
 }
 
+const straight = ({ host, endpoint, token, session }: MachineRun, orders: Order[]): Effect => ({
+  e: 'order',
+  host,
+  endpoint,
+  token,
+  session,
+  orders,
+});
+
 const later = (r: Report, [session, seq]: [number, number]): boolean =>
   r.session > session || (r.session === session && r.seq > seq);
 
--- a/src/core/dispatcher.ts
+++ b/src/core/dispatcher.ts
@@ -116,6 +116,7 @@
       this.slice(this.round);
     }
     this.checkins.sendStops(out);
+    this.checkins.askForReports(out);
   }
 
   private slice(round: Generator<number, void>): void {
