Submit files and match expressions of HTCondor are read: language, files, dry run, eval

Need: users have jobs as submit files with match expressions; first both must be understood exactly, and mistakes told.

Loaded by `condor` only.

Ruled out: JavaScript's own patterns (forty characters can take hours), an interpreted or hand-written grammar.

--- /dev/null
+++ b/src/classad/functions/define.ts
@@ -0,0 +1,63 @@
+import type { Evaluation } from '../evaluate.js';
+import type { Expr } from '../expr.js';
+import type { Frame } from '../frames.js';
+import { strict } from '../operators.js';
+import { Fault, typeOf, type Value } from '../values.js';
+
+export interface FunctionSpec {
+  least: number;
+  most: number;
+  call(args: readonly Expr[], f: Frame, ev: Evaluation): Value;
+  /** Time or chance decide, too. */
+  varies?: boolean;
+  /** Sees its arguments as they are written, or evaluates them elsewhere. */
+  writes?: boolean;
+}
+
+export type Named = [string, FunctionSpec];
+
+/** Its arguments are evaluated first, whatever they come to. */
+export const open = (
+  name: string,
+  least: number,
+  most: number,
+  f: (args: Value[], ev: Evaluation) => Value,
+): Named => [
+  name,
+  {
+    least,
+    most,
+    call: (args, frame, ev) =>
+      f(
+        args.map((a) => ev.run(a, frame)),
+        ev,
+      ),
+  },
+];
+
+/** `error` and `undefined` among its arguments go through it. */
+export const closed = (
+  name: string,
+  least: number,
+  most: number,
+  f: (args: Exclude<Value, undefined | Fault>[], ev: Evaluation) => Value,
+): Named =>
+  open(name, least, most, (args, ev) => {
+    const odd = strict(...args);
+    if (odd) return odd === 'undefined' ? undefined : odd;
+    return f(args as Exclude<Value, undefined | Fault>[], ev);
+  });
+
+export const wrong = (name: string, v: Value): Fault => new Fault(`${name} does not take a ${typeOf(v)}`);
+
+/** A function of strings alone; the optional ones are undefined where they are not given. */
+export const ofStrings = (
+  name: string,
+  least: number,
+  most: number,
+  f: (args: string[], ev: Evaluation) => Value,
+): Named =>
+  closed(name, least, most, (args, ev) => {
+    const bad = args.find((a) => typeof a !== 'string');
+    return bad === undefined ? f(args as string[], ev) : wrong(name, bad);
+  });
--- /dev/null
+++ b/src/classad/refs.ts
@@ -0,0 +1,44 @@
+import { children, type Ad, type Expr } from './expr.js';
+
+/** Whether a selection is of one of the two sides: `MY.x`, `TARGET.x`. */
+export function sideOf(e: Expr): 'my' | 'target' | null {
+  if (e.k !== 'ref' || e.absolute) return null;
+  const name = e.name.toLowerCase();
+  return name === 'my' || name === 'target' ? name : null;
+}
+
+/**
+ * The names that an expression of one record asks of the other, through its own attributes, in lower case. What is only known
+ * when it is evaluated (`eval`, a subscript of TARGET) is told by '*': anything.
+ */
+export function asked(e: Expr, my: Ad): Set<string> {
+  const found = new Set<string>();
+  const seen = new Set<string>();
+  const mine = (name: string): void => {
+    const key = name.toLowerCase();
+    if (seen.has(key)) return;
+    seen.add(key);
+    const own = my.get(name);
+    if (own) visit(own);
+  };
+  const visit = (x: Expr): void => {
+    if (x.k === 'sel') {
+      const side = sideOf(x.of);
+      if (side === 'target') return void found.add(x.name.toLowerCase());
+      if (side === 'my') return mine(x.name);
+    }
+    if (x.k === 'ref') {
+      const side = sideOf(x);
+      if (side === 'target') found.add('*');
+      else if (side === null) {
+        if (my.has(x.name)) mine(x.name);
+        else if (!x.absolute) found.add(x.name.toLowerCase());
+      }
+    }
+    if (x.k === 'call' && x.name.toLowerCase() === 'eval') found.add('*');
+    // Inside a nested record its own names come first; asking for too many only costs.
+    for (const c of children(x)) visit(c);
+  };
+  visit(e);
+  return found;
+}
--- /dev/null
+++ b/src/classad/values.ts
@@ -0,0 +1,54 @@
+import type { Ad } from './expr.js';
+import type { Frame } from './frames.js';
+
+/** The value `error`, with why, for people. All of them are alike to the language. */
+export class Fault {
+  constructor(readonly why: string) {}
+}
+
+/** A record that was evaluated: where its attributes find theirs. */
+export class RecordValue {
+  constructor(
+    readonly ad: Ad,
+    readonly frame: Frame,
+  ) {}
+}
+
+/** What an expression can come to: `undefined`, `error`, booleans, integers (64 bits), reals, strings, lists, records. */
+export type Value = undefined | Fault | boolean | bigint | number | string | Value[] | RecordValue;
+
+export type TypeName = 'undefined' | 'error' | 'boolean' | 'integer' | 'real' | 'string' | 'list' | 'classad';
+
+export function typeOf(v: Value): TypeName {
+  if (v === undefined) return 'undefined';
+  if (v instanceof Fault) return 'error';
+  if (Array.isArray(v)) return 'list';
+  if (v instanceof RecordValue) return 'classad';
+  switch (typeof v) {
+    case 'boolean':
+      return 'boolean';
+    case 'bigint':
+      return 'integer';
+    case 'number':
+      return 'real';
+    default:
+      return 'string';
+  }
+}
+
+export const int = (n: number | bigint): bigint =>
+  BigInt.asIntN(64, typeof n === 'bigint' ? n : BigInt(Math.trunc(n)));
+
+/** Numbers, and booleans as 1 and 0; null: it is none. */
+export function numeric(v: Value): bigint | number | null {
+  if (typeof v === 'bigint' || typeof v === 'number') return v;
+  return typeof v === 'boolean' ? (v ? 1n : 0n) : null;
+}
+
+/** As `&&`, `!` and `?` see it: numbers other than zero are true. */
+export function truth(v: Value): boolean | undefined | Fault {
+  if (typeof v === 'boolean' || v === undefined || v instanceof Fault) return v;
+  if (typeof v === 'bigint') return v !== 0n;
+  if (typeof v === 'number') return v !== 0;
+  return new Fault(`a ${typeOf(v)} is neither true nor false`);
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -68,6 +68,9 @@
     ]);
     addClientCommands(program, fail);
     addPrograms(program, fail);
+    // The language and its libraries take time to load: only for those who ask.
+    if (argv[2] === 'condor') (await import('./condor.js')).addCondorCommands(program, fail);
+    else program.command('condor').description('submit files and match expressions of HTCondor');
   }
   await program.parseAsync(argv);
 }
--- /dev/null
+++ b/src/condor/here.ts
@@ -0,0 +1,33 @@
+import { readFileSync } from 'node:fs';
+import { userInfo } from 'node:os';
+import { globSync } from 'tinyglobby';
+import type { Outside } from './outside.js';
+
+/** This machine, as submit files see it. */
+export function here(): Outside {
+  const cwd = process.cwd();
+  return {
+    cwd,
+    env: process.env,
+    user: userInfo().username,
+    nowS: Date.now() / 1000,
+    random: Math.random,
+    read: (path) => {
+      try {
+        return readFileSync(path, 'utf8');
+      } catch {
+        return null;
+      }
+    },
+    glob: (pattern, what) =>
+      globSync(pattern, {
+        cwd,
+        absolute: pattern.startsWith('/'),
+        onlyFiles: what === 'files',
+        onlyDirectories: what === 'dirs',
+        expandDirectories: false,
+      })
+        .map((f) => f.replace(/\/$/, ''))
+        .sort(),
+  };
+}
--- /dev/null
+++ b/src/condor/index.ts
@@ -0,0 +1,4 @@
+export { SubmitError } from './errors.js';
+export { Submission, jsonOf } from './jobs.js';
+export { here } from './here.js';
+export type { Outside } from './outside.js';
--- /dev/null
+++ b/src/condor/outside.ts
@@ -0,0 +1,13 @@
+/** What a submit file may see of the machine on which it is submitted. */
+export interface Outside {
+  cwd: string;
+  env: Readonly<Record<string, string | undefined>>;
+  user: string;
+  /** Time of day, s. */
+  nowS: number;
+  random(): number;
+  /** null: it cannot be read. */
+  read(path: string): string | null;
+  /** Names that match, sorted, as the pattern was given: relative or not. */
+  glob(pattern: string, what: 'files' | 'dirs' | 'any'): string[];
+}
--- /dev/null
+++ b/src/condor/quoting.ts
@@ -0,0 +1,75 @@
+/** Arguments and environments, in both syntaxes of the manual. Problems are thrown as text. */
+
+const isNew = (text: string): boolean => text.startsWith('"');
+
+/** What stands between the double quotes of the new syntax, with `""` for one of them. */
+function unquoted(text: string): string {
+  if (text.length < 2 || !text.endsWith('"')) throw new Error('a double quote is not closed');
+  const inside = text.slice(1, -1);
+  if (/"/.test(inside.replaceAll('""', '')))
+    throw new Error('a double quote inside double quotes must be doubled');
+  return inside.replaceAll('""', '"');
+}
+
+/** Words of the new syntax: spaces part them, single quotes keep them together, and `''` in them is one. */
+export function splitWords(text: string): string[] {
+  const words: string[] = [];
+  let word: string | null = null;
+  for (let i = 0; i < text.length; i++) {
+    const c = text[i];
+    if (/\s/.test(c)) {
+      if (word !== null) words.push(word);
+      word = null;
+    } else if (c === "'") {
+      word ??= '';
+      for (i++; ; i++) {
+        if (i >= text.length) throw new Error('a single quote is not closed');
+        if (text[i] !== "'") word += text[i];
+        else if (text[i + 1] === "'") word += text[i++];
+        else break;
+      }
+    } else word = (word ?? '') + c;
+  }
+  if (word !== null) words.push(word);
+  return words;
+}
+
+export const joinWords = (words: readonly string[]): string =>
+  words.map((w) => (w === '' || /[\s']/.test(w) ? `'${w.replaceAll("'", "''")}'` : w)).join(' ');
+
+export interface Arguments {
+  /** As it goes into the job's record: `Args` in the old syntax, `Arguments` in the new one. */
+  text: string;
+  isNew: boolean;
+  argv: string[];
+}
+
+export function parseArguments(value: string): Arguments {
+  if (isNew(value)) {
+    const text = unquoted(value);
+    return { text, isNew: true, argv: splitWords(text) };
+  }
+  if (/(^|[^\\])"/.test(value))
+    throw new Error('a double quote in the old syntax must be written \\" (or the whole in double quotes)');
+  const text = value.replaceAll('\\"', '"');
+  return { text, isNew: false, argv: text.split(/\s+/).filter((w) => w !== '') };
+}
+
+export interface Environment {
+  text: string;
+  isNew: boolean;
+  vars: [string, string][];
+}
+
+export function parseEnvironment(value: string): Environment {
+  const isNewer = isNew(value);
+  const text = isNewer ? unquoted(value) : value;
+  const entries = isNewer ? splitWords(text) : text.split(';').filter((e) => e.trim() !== '');
+  const vars = entries.map((e): [string, string] => {
+    const at = e.indexOf('=');
+    const name = e.slice(0, Math.max(at, 0)).trim();
+    if (!/^[A-Za-z_]\w*$/.test(name)) throw new Error(`${e}: expected NAME=VALUE`);
+    return [name, e.slice(at + 1)];
+  });
+  return { text, isNew: isNewer, vars };
+}
--- a/src/core/checkins.ts
+++ b/src/core/checkins.ts
@@ -199,8 +199,7 @@
       const m = this.books.machines.get(p.host);
       if (!gone && p.sent === null && m && m.endpoint !== '' && m.provenAt > 0) wanted.add(m);
     }
-    for (const m of wanted)
-      out.push(straight(m, []));
+    for (const m of wanted) out.push(straight(m, []));
   }
 
   /**
@@ -223,8 +222,7 @@
       byMachine.set(m, orders);
       orders.push({ op: 'stop', job: p.job.id, index: p.index, attempt: p.attempt, graceS: p.stop.graceS });
     }
-    for (const [m, orders] of byMachine)
-      out.push(straight(m, orders));
+    for (const [m, orders] of byMachine) out.push(straight(m, orders));
   }
 }
 
