--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -15,6 +15,8 @@
 import { Results } from './results.js';
 import { platformOf, type ControlSettings } from './settings.js';
 
+/** Of tries to reach a store that does not answer, one in so many is told. */
+const sayEvery = 20;
 /** Where the store is shared, the pool is read again after so many reports. */
 const poolReports = 2;
 /** How long a stand-in sleeps when its class says nothing, and its owner neither, s. */
@@ -44,11 +46,12 @@
   private readUnder = -1;
   private reading: Promise<void> | null = null;
   private poolTimer: NodeJS.Timeout | null = null;
+  private stopped = false;
 
   constructor(
     readonly settings: ControlSettings,
     state: StateService & Kv,
-    log: Log,
+    private readonly log: Log,
     snapshot: (() => Promise<object>) | null = null,
     readonly matching: Matching | null = null,
   ) {
@@ -87,8 +90,7 @@
   }
 
   async start(): Promise<void> {
-    await this.pool.load();
-    await this.results.load();
+    await this.firstReading();
     await this.service.start();
     if (this.settings.store === null) return;
     // Others may share the store: drained and forgotten by them is drained and forgotten.
@@ -97,10 +99,26 @@
   }
 
   stop(): void {
+    this.stopped = true;
     if (this.poolTimer) clearInterval(this.poolTimer);
     this.service.stop();
   }
 
+  /** Guards against a service that ends because its store is started a moment later, or again: it waits for it. */
+  private async firstReading(): Promise<void> {
+    const everyMs = this.settings.reportS * 250;
+    for (let tries = 0; ; tries++)
+      try {
+        await this.pool.load();
+        await this.results.load();
+        return;
+      } catch (e) {
+        if (!(e instanceof NotWritten) || this.stopped) throw e;
+        if (tries % sayEvery === 0) this.log('warn', 'waiting for the store', { store: this.settings.store });
+        await new Promise((resolve) => setTimeout(resolve, everyMs));
+      }
+  }
+
   /** The control service that has the work; null: nobody just now. */
   get owner(): string | null {
     return this.service.controller.replica.shards.get(0)?.owner ?? null;
--- a/test/outage.test.ts
+++ b/test/outage.test.ts
@@ -43,9 +43,10 @@
     door.cut();
     await s.until(async () => s.commandsOf('a').length === 0);
     assert.equal(s.attempts().length, 1, 'given to nobody before it had surely ended');
+    // The first watchdog goes with the first lease.
+    await s.until(async () => s.watchdogsOf('a').length === 0);
     door.mend();
     await s.until(async () => s.attempts().length === 2);
-    // The first watchdog has gone with the first lease.
     await s.until(async () => s.watchdogsOf('a').length > 0);
     writeFileSync(go, '');
     const one = await s.over(1);
@@ -115,6 +116,20 @@
     await s.until(async () => s.watchdogsOf('a').length === 0);
   }));
 
+test('outage: a control service that is started before its store waits for it', () =>
+  withSite(
+    async (s) => {
+      for (const name of ['one', 'two', 'a']) s.process(name);
+      await pause(1500);
+      assert.ok(['one', 'two'].every((n) => s.children.get(n)!.exitCode === null));
+      s.process('store');
+      await s.submit(s.job(1));
+      assert.equal((await s.over(1)).failed, 0);
+    },
+    '(report-s 0.3) (lease-s 6)',
+    ['one', 'two'],
+  ));
+
 test('outage: two control services on one store; store, owner and agents are killed in turn during a batch', () =>
   withSite(
     async (s) => {
