--- a/src/cli/demo.ts
+++ b/src/cli/demo.ts
@@ -8,7 +8,10 @@
 import { jobPath, plainSubmission } from '../wire/user.js';
 
 const main = fileURLToPath(new URL('../main.js', import.meta.url));
-const limitS = 50;
+/** A busy machine takes several times as long as an idle one. */
+const limitS = 120;
+/** How long children get to end in order, ms. */
+const leaveMs = 5000;
 
 interface Wanted {
   what: string;
@@ -99,19 +102,30 @@
       ]);
     say(`A control service at ${node} and two agents, all in ${dir}`);
     const ok = await batch(new HttpClient(node, 2));
+    await endAll(children);
     say(ok ? 'All as it should be.' : `Not as it should be: the logs are in ${dir}`);
     if (ok) rmSync(dir, { recursive: true, force: true });
     return ok ? 0 : 1;
   } finally {
-    for (const c of children) c.kill('SIGTERM');
-    await Promise.race([
-      Promise.all(children.map((c) => new Promise((r) => c.once('exit', r)))),
-      pause(3000),
-    ]);
-    for (const c of children) if (c.exitCode === null) c.kill('SIGKILL');
+    await endAll(children);
   }
 }
 
+/**
+ * Ends children and waits until they are gone. Guards against removing a directory while agents still write to it: the demo
+ * then ended with ENOTEMPTY.
+ */
+async function endAll(children: ChildProcess[]): Promise<void> {
+  const alive = children.splice(0).filter((c) => c.exitCode === null && c.signalCode === null);
+  const ends = Promise.all(alive.map((c) => new Promise((r) => c.once('exit', r))));
+  for (const c of alive) c.kill('SIGTERM');
+  const late = setTimeout(() => {
+    for (const c of alive) c.kill('SIGKILL');
+  }, leaveMs);
+  await ends;
+  clearTimeout(late);
+}
+
 async function batch(http: HttpClient): Promise<boolean> {
   const until = Date.now() + limitS * 1000;
   const first = 100000 + (Date.now() % 800000);
