Urgent gangs get the room that work of less urgency takes anew; late ones by response

In the logs: small tasks took every place that came free on the machines that only whole gangs could use, and their own team's limit, again and again (with the limit full an urgent gang may not even stop anything); gangs that were late were no longer let onto GPU machines; late gangs went by age, large ones first.

Change: while urgent gangs that are late or soon pressed find no room, work of less urgency takes no new place on as many machines as they could use (half of the GPU machines at most), nor as much of their team's limit; late gangs may crowd GPU machines; late and pressed work goes by how long it has waited for what it takes.

--- a/src/core/books/books.ts
+++ b/src/core/books/books.ts
@@ -1,6 +1,6 @@
 import type { Operators } from '../../config/operators.js';
 import type { Settings } from '../../config/settings.js';
-import { pieceName, urgencyRank } from '../../model/job.js';
+import { pieceName, urgencyRank, type JobSpec } from '../../model/job.js';
 import type { Fits } from '../../model/machine.js';
 import type { Matcher } from '../../policy/matching.js';
 import { teamCap } from '../../policy/admission.js';
@@ -23,6 +23,15 @@
   succeeded(job: JobRun): void;
 }
 
+/** A part of a team's limit that is kept for its more urgent work. */
+export interface Owed {
+  urgency: number;
+  cpus: number;
+  gpus: number;
+  /** Tasks that machines could take beyond that. */
+  slots: number;
+}
+
 /** The jobs and machines of the shards of this process: what is placed where, what is durable, what waits. */
 export class Books {
   readonly jobs = new Map<string, JobRun>();
@@ -35,11 +44,20 @@
   readonly unsentStops = new Set<Placement>();
   /** Starts that wait for the next report of their machines; kept in a pool only. */
   readonly unsentStarts = new Set<Placement>();
+  /**
+   * Machines that run empty for gangs that found no room in the last round, with the gangs' urgency: work of less urgency
+   * takes none of them anew.
+   */
+  withheld: ReadonlyMap<string, number> = new Map();
+  /** What teams' gangs that found no room in the last round will take of their teams' limits, by team. */
+  owed: ReadonlyMap<string, Owed> = new Map();
   readonly claims: Claims;
   readonly hazard: HazardEstimate;
   readonly writer: Writer;
   /** Placements decided so far. */
   placed = 0;
+  /** Jobs that were brought to their end here, by team. */
+  readonly doneOf = new Map<string, number>();
   private readonly chunkTasks: number;
 
   constructor(
@@ -207,10 +225,17 @@
     if (m && m.placements.size === 0) m.idleSince = this.clock.now;
   }
 
-  teamRoom(team: string): Fits {
+  /** What work of a team may still take: its limit goes to its most urgent work first. */
+  teamRoom({ team, urgency }: Pick<JobSpec, 'team' | 'urgency'>): Fits {
     const cap = teamCap(this.settings, team);
     const use = this.teamUse.get(team);
-    return { cpus: cap.cpus - (use?.cpus ?? 0), gpus: cap.gpus - (use?.gpus ?? 0), memGb: Infinity };
+    const owed = this.owed.get(team);
+    const first = owed && owed.urgency > urgencyRank[urgency] ? owed : { cpus: 0, gpus: 0 };
+    return {
+      cpus: cap.cpus - (use?.cpus ?? 0) - first.cpus,
+      gpus: cap.gpus - (use?.gpus ?? 0) - first.gpus,
+      memGb: Infinity,
+    };
   }
 
   /** Places tasks of one job together; they start once all of it is durable. */
--- a/src/core/books/writer.ts
+++ b/src/core/books/writer.ts
@@ -13,6 +13,8 @@
 /** What the writer needs of the books. */
 export interface Written {
   jobs: Map<string, JobRun>;
+  /** Jobs that were brought to their end, by team. */
+  doneOf: Map<string, number>;
   /** Shards of this process. */
   owned: ReadonlySet<number>;
   /** Another writer was there: the job is to be built anew from what is durable. */
@@ -159,6 +161,8 @@
       ok: () => {
         for (const c of job.chunks) c.durable = c.version;
         this.books.jobs.delete(job.id);
+        const { doneOf } = this.books;
+        doneOf.set(job.spec.team, (doneOf.get(job.spec.team) ?? 0) + 1);
         this.log('info', 'job done', { job: job.id });
         this.dropChunks(job);
       },
--- a/src/core/round/fit.ts
+++ b/src/core/round/fit.ts
@@ -1,7 +1,7 @@
-import { isPremium, type JobSpec } from '../../model/job.js';
+import { isPremium, urgencyRank, type JobSpec } from '../../model/job.js';
 import type { MachineType } from '../../model/machine.js';
 import { typeAllowed } from '../../policy/admission.js';
-import { limitsOf, slackS } from '../../policy/deadlines.js';
+import { isLimitless, limitsOf, slackS } from '../../policy/deadlines.js';
 import { gpuMachineOpen } from '../../policy/gpus.js';
 import { score } from '../../policy/helios.js';
 import { anchorPrice, candidate, fetchS, weights } from '../../policy/pricing.js';
@@ -13,7 +13,8 @@
 
 /** The machines kept for a job, then those open to all. */
 export function* candidates(job: JobRun, round: ShardRound): Generator<MachineRun> {
-  for (const m of round.claimed.get(job.id) ?? []) if (usable(round.books, m) && openTo(job, m)) yield m;
+  for (const m of round.claimed.get(job.id) ?? [])
+    if (usable(round.books, m) && openTo(round.books, job, m)) yield m;
   yield* eligible(job, round);
 }
 
@@ -30,15 +31,21 @@
   let reach = Infinity;
   for (const t of books.replica.types)
     if (t.gpus <= 0 && typeAllowed(spec, t)) reach = Math.min(reach, t.bootS + fetchS(spec, t));
-  return slackS(limits, (books.clock.wall - job.at) / 1000, spec.estimateS) < reach;
+  const slack = slackS(limits, (books.clock.wall - job.at) / 1000, spec.estimateS);
+  // Guards against urgent work that is late already being worse off than what may yet be.
+  return slack < reach || (!isLimitless(limits) && !Number.isFinite(slack));
 }
 
 /** Whether a gang may have a machine of this type emptied for it. */
 export const mayEmpty = (round: ShardRound, job: JobRun, type: MachineType): boolean =>
   type.gpus <= 0 || job.spec.gpus > 0 || round.keep === null || mayCrowd(round, job);
 
-/** Whether a machine may take a job's tasks, as far as its place and the job's past there decide. */
-export const openTo = (job: JobRun, m: MachineRun): boolean =>
+/**
+ * Whether a machine may take a job's tasks, as far as its place, the job's past there and what waits with more urgency
+ * decide.
+ */
+export const openTo = (books: Books, job: JobRun, m: MachineRun): boolean =>
+  (books.withheld.get(m.host) ?? 0) <= urgencyRank[job.spec.urgency] &&
   (job.anywhere || !job.errors.has(m.host)) &&
   (job.spec.zone === null || job.spec.zone === m.zone) &&
   (job.match === null || job.match.allows(m.host)) &&
@@ -65,7 +72,7 @@
   withImage = false,
 ): Generator<MachineRun> {
   const score = kindScore(books, job.spec);
-  const all = openings.best(job.spec, score, (m) => usable(books, m) && openTo(job, m), withImage);
+  const all = openings.best(job.spec, score, (m) => usable(books, m) && openTo(books, job, m), withImage);
   return job.match?.ranks ? byRank(job, job.match, score, all) : all;
 }
 
--- a/src/core/round/gangs.ts
+++ b/src/core/round/gangs.ts
@@ -1,7 +1,11 @@
+import { urgencyRank } from '../../model/job.js';
 import { timesFits } from '../../model/machine.js';
 import { typeAllowed } from '../../policy/admission.js';
+import { limitsOf, slackS } from '../../policy/deadlines.js';
 import { keptRoom } from '../../policy/gpus.js';
 import { spotAllowed, zoneOpen } from '../../policy/guardrails.js';
+import { pressingS } from '../../policy/order.js';
+import { suspect } from '../blame.js';
 import type { Books } from '../books/books.js';
 import { nextGangAttempt, nextWaiting, waitingCount } from '../books/jobs.js';
 import { roomOf } from '../books/machines.js';
@@ -11,7 +15,7 @@
 
 /** False: the gang waits for something else than room. */
 export const gangMayWait = (books: Books, job: JobRun): boolean =>
-  job.active.size === 0 && timesFits(job.spec, books.teamRoom(job.spec.team)) >= waitingCount(job);
+  job.active.size === 0 && timesFits(job.spec, books.teamRoom(job.spec)) >= waitingCount(job);
 
 /** A gang is placed whole in one round or not at all. False: it found no room. */
 export function placeGang(job: JobRun, round: ShardRound): boolean {
@@ -63,7 +67,8 @@
 /**
  * Keeps for a gang the machines that run empty soonest, all in one zone if it must be, so that small tasks do not
  * starve it. They stay kept until it is placed: chosen anew each round, no machine would ever run empty. Only the
- * first gangs get some, since machines that wait for others to run empty do nothing.
+ * first gangs get some, since machines that wait for others to run empty do nothing. For the others machines are withheld
+ * from work of less urgency alone: what is as urgent takes them as they come free.
  */
 export function reserve(job: JobRun, round: ShardRound): void {
   const { spec } = job;
@@ -73,25 +78,88 @@
   const need = waitingCount(job) - held;
   if (need <= 0) return;
   const there = round.claimed.get(job.id)?.[0]?.zone ?? null;
-  const byZone = new Map<string | null, { machines: MachineRun[]; slots: number }>();
-  let best: MachineRun[] | null = null;
-  let fit = 0;
-  for (const m of round.all) {
+  const fit = round.all.filter((m) => {
     round.openings.looked++;
-    if (!typeAllowed(spec, m.type) || (m.spot && !spotAllowed(spec)) || !openTo(job, m)) continue;
-    if (!mayEmpty(round, job, m.type)) continue;
-    fit++;
-    if (best !== null || (spec.oneZone && there !== null && m.zone !== there)) continue;
+    return (
+      typeAllowed(spec, m.type) &&
+      (!m.spot || spotAllowed(spec)) &&
+      openTo(books, job, m) &&
+      mayEmpty(round, job, m.type)
+    );
+  });
+  const best = soonest(job, need, there, fit);
+  // The first gang always gets its machines; the others only while not too many are kept.
+  const kept = books.claims.held.size;
+  if (best !== null && (kept === 0 || kept + best.length <= claimShare * (fit.length + kept)))
+    return claim(job, round, best);
+  withhold(job, round, need, fit);
+}
+
+/** The machines that will have run empty first, as many as the gang needs, in one zone if it must be. */
+function soonest(job: JobRun, need: number, there: string | null, fit: MachineRun[]): MachineRun[] | null {
+  const { spec } = job;
+  const byZone = new Map<string | null, { machines: MachineRun[]; slots: number }>();
+  for (const m of fit) {
+    if (spec.oneZone && there !== null && m.zone !== there) continue;
     const zone = spec.oneZone ? m.zone : null;
     let z = byZone.get(zone);
     if (!z) byZone.set(zone, (z = { machines: [], slots: 0 }));
     z.machines.push(m);
     z.slots += timesFits(spec, m.type);
     // Soonest first: the zone that is complete first will have run empty first.
-    if (z.slots >= need) best = z.machines;
+    if (z.slots >= need) return z.machines;
   }
-  // The first gang always gets its machines; the others only while not too many are kept.
-  const kept = books.claims.held.size;
-  if (best === null || (kept > 0 && kept + best.length > claimShare * (fit + kept))) return;
-  claim(job, round, best);
+  return null;
+}
+
+/** Machines run empty, and limits free, while tasks of less urgency end, so it begins before a gang is pressed. */
+const hurryShare = 2;
+
+/** Whether a gang is short of time, or late. */
+function hurried({ spec, at }: JobRun, { settings, clock }: Books): boolean {
+  const slack = slackS(limitsOf(spec, settings.objectives), (clock.wall - at) / 1000, spec.estimateS);
+  return !Number.isFinite(slack) || slack <= hurryShare * pressingS(settings);
+}
+
+/**
+ * Guards against work of less urgency that takes each place that comes free on machines that only whole gangs could use:
+ * small tasks always find one, a gang that needs most of a machine never does. Half of the GPU machines stay with GPU work.
+ */
+function withhold(job: JobRun, round: ShardRound, need: number, fit: MachineRun[]): void {
+  const { spec } = job;
+  if (!hurried(job, round.books)) return;
+  let left = need;
+  let gpus = 0;
+  for (const m of round.all) if (m.type.gpus > 0) gpus += round.withheld.has(m.host) ? -1 : 1;
+  for (const m of fit) {
+    if (left <= 0) return;
+    if (round.withheld.has(m.host)) continue;
+    if (m.type.gpus > 0 && spec.gpus <= 0 && (gpus -= 2) < 0) continue;
+    round.withheld.set(m.host, urgencyRank[spec.urgency]);
+    left -= timesFits(spec, m.type);
+  }
+}
+
+/**
+ * Guards against a team's limit that is used up by its less urgent work while its urgent gangs wait: as much of it as they
+ * could use goes to nothing else. What no machine could take is not kept.
+ */
+export function owe(job: JobRun, round: ShardRound): void {
+  const { spec } = job;
+  const { books } = round;
+  if (job.active.size > 0 || suspect(job) || !hurried(job, round.books)) return;
+  const rank = urgencyRank[spec.urgency];
+  const before = round.owed.get(spec.team);
+  if (before && before.urgency > rank) return;
+  let owed = before;
+  if (owed?.urgency !== rank) {
+    let slots = -(books.activeBy.get(rank) ?? 0);
+    for (const m of books.machines.values())
+      if (typeAllowed(spec, m.type) && (!m.spot || spotAllowed(spec))) slots += timesFits(spec, m.type);
+    round.owed.set(spec.team, (owed = { urgency: rank, cpus: 0, gpus: 0, slots }));
+  }
+  const tasks = Math.max(0, Math.min(waitingCount(job), owed.slots));
+  owed.slots -= tasks;
+  owed.cpus += tasks * spec.cpus;
+  owed.gpus += tasks * spec.gpus;
 }
--- a/src/core/round/moves.ts
+++ b/src/core/round/moves.ts
@@ -58,7 +58,7 @@
       typeAllowed(job.spec, m.type) &&
       fits(job.spec, roomOf(books, m)) &&
       usable(books, m) &&
-      openTo(job, m)
+      openTo(books, job, m)
     )
       return true;
   return false;
--- a/src/core/round/preemption.ts
+++ b/src/core/round/preemption.ts
@@ -44,7 +44,7 @@
   const slack = slackS(limits, ageS, spec.estimateS);
   let need = waitingCount(job);
   if (spec.shape !== 'gang') need = Math.min(need, 1);
-  if (timesFits(spec, books.teamRoom(spec.team)) < need) return false;
+  if (timesFits(spec, books.teamRoom(spec)) < need) return false;
   const kinds = books.replica.types.filter((t) => typeAllowed(spec, t));
   const bootS = Math.min(...kinds.map((t) => t.bootS + fetchS(spec, t)));
   const hurry = Number.isFinite(slack) ? slack : 2 * bootS - ageS;
@@ -55,7 +55,7 @@
   const kept = round.claimed.get(job.id) ?? [];
   for (const m of [...kept, ...round.all]) {
     round.openings.looked++;
-    if (!typeAllowed(spec, m.type) || (m.spot && !spotAllowed(spec)) || !openTo(job, m)) continue;
+    if (!typeAllowed(spec, m.type) || (m.spot && !spotAllowed(spec)) || !openTo(books, job, m)) continue;
     if (!mayEmpty(round, job, m.type)) continue;
     const room = roomOf(books, m);
     const victims: Placement[] = [];
--- a/src/core/round/round.ts
+++ b/src/core/round/round.ts
@@ -7,7 +7,7 @@
 import type { Books } from '../books/books.js';
 import { waitingCount } from '../books/jobs.js';
 import type { JobRun } from '../books/runs.js';
-import { gangMayWait, placeGang, reserve } from './gangs.js';
+import { gangMayWait, owe, placeGang, reserve } from './gangs.js';
 import { madeRoom, preempt } from './preemption.js';
 import { openShard, type Round, type ShardRound } from './shard.js';
 import { placeEach } from './singles.js';
@@ -79,10 +79,12 @@
     }
     if (job.spec.shape === 'gang') {
       if (!hopeless && placeGang(job, round)) {
+        owe(job, round);
         yield openings.looked;
         openings.looked = 0;
         continue;
       }
+      owe(job, round);
       if (gangMayWait(books, job) && !suspect(job)) reserve(job, round);
     } else if (!hopeless) placeEach(job, round);
     // Guards against a job that has failed everywhere being tried nowhere any more.
@@ -94,6 +96,8 @@
     yield openings.looked;
     openings.looked = 0;
   }
+  books.owed = new Map([...shards.values()].flatMap((round) => [...round.owed]));
+  books.withheld = new Map([...shards.values()].flatMap((round) => [...round.withheld]));
 }
 
 const placeable = (books: Books, j: JobRun): boolean =>
--- a/src/core/round/shard.ts
+++ b/src/core/round/shard.ts
@@ -1,7 +1,7 @@
 import type { JobSpec } from '../../model/job.js';
 import type { Fits, MachineType } from '../../model/machine.js';
 import type { GpuShare } from '../../policy/gpus.js';
-import type { Books } from '../books/books.js';
+import type { Books, Owed } from '../books/books.js';
 import { roomOf, usable } from '../books/machines.js';
 import { Openings } from '../openings.js';
 import type { JobRun, MachineRun } from '../books/runs.js';
@@ -26,6 +26,10 @@
   claimed: Map<string, MachineRun[]>;
   /** Types of the machines that may be used. */
   types: Set<MachineType>;
+  /** Machines that gangs of this round wait for, with the gangs' urgency. */
+  withheld: Map<string, number>;
+  /** What of their teams' limits is kept for them, by team. */
+  owed: Map<string, Owed>;
   /** Room being made that a job of this round is counting on, by host. */
   promised: Map<string, Fits>;
 }
@@ -49,7 +53,16 @@
   const openings = new Openings(all, (m) => roomOf(books, m), least);
   const freeAt = new Map(all.map((m) => [m, freeInS(books, m)]));
   all.sort((a, b) => freeAt.get(a)! - freeAt.get(b)!);
-  return { ...round, openings, all, claimed, types, promised: new Map() };
+  return {
+    ...round,
+    openings,
+    all,
+    claimed,
+    types,
+    withheld: new Map(),
+    owed: new Map(),
+    promised: new Map(),
+  };
 }
 
 /** In how long a machine will have run empty, by its tasks' estimates, s. */
--- a/src/core/round/singles.ts
+++ b/src/core/round/singles.ts
@@ -11,7 +11,7 @@
 export function placeEach(job: JobRun, round: ShardRound, withImage = false): void {
   const { spec } = job;
   const { books, openings } = round;
-  let left = Math.min(waitingCount(job), timesFits(spec, books.teamRoom(spec.team)));
+  let left = Math.min(waitingCount(job), timesFits(spec, books.teamRoom(spec)));
   // A job that only ever failed is tried one task at a time.
   if (suspect(job)) left = Math.min(left, job.active.size === 0 ? 1 : 0);
   if (left <= 0) return;
--- a/src/core/round/yielding.ts
+++ b/src/core/round/yielding.ts
@@ -37,13 +37,13 @@
   const entitled = demandsNow(round, job);
   if (!entitled && ![...books.activeBy].some(([u, n]) => n > 0 && u < urgencyRank[spec.urgency]))
     return false;
-  let need = Math.min(waitingCount(job), timesFits(spec, books.teamRoom(spec.team)));
+  let need = Math.min(waitingCount(job), timesFits(spec, books.teamRoom(spec)));
   const crowd = mayCrowd(round, job);
   const plans: Plan[] = [];
   for (const m of round.all) {
     if (need <= 0) return true;
     round.openings.looked++;
-    if (!typeAllowed(spec, m.type) || (m.spot && !spotAllowed(spec)) || !openTo(job, m)) continue;
+    if (!typeAllowed(spec, m.type) || (m.spot && !spotAllowed(spec)) || !openTo(books, job, m)) continue;
     if (!mayEmpty(round, job, m.type)) continue;
     const promised = round.promised.get(m.host);
     const room = roomOf(books, m);
--- a/src/core/summary.ts
+++ b/src/core/summary.ts
@@ -14,6 +14,16 @@
   because: Record<string, number>;
 }
 
+/** Of a team, in the log: its jobs since the shard was taken up, what they wait for and what they use of its limit. */
+interface TeamSummary {
+  open: number;
+  done: number;
+  waiting: number;
+  active: number;
+  cpus: number;
+  gpus: number;
+}
+
 /** For operators: how the fleet is used and what waits. `looked`: machines that placement has looked at. */
 export function summarize(books: Books, looked: number): void {
   const fleet: Record<string, { up: number; coming: number; idle: number; cpus: number; gpus: number }> = {};
@@ -36,7 +46,24 @@
     f.gpus = Math.round((100 * f.gpus) / (f.up + f.coming)) / 100;
   }
   const jobs: Record<string, ClassSummary> = {};
+  const teams: Record<string, TeamSummary> = {};
+  const teamOf = (name: string): TeamSummary => {
+    const use = books.teamUse.get(name);
+    return (teams[name] ??= {
+      open: 0,
+      done: books.doneOf.get(name) ?? 0,
+      waiting: 0,
+      active: 0,
+      cpus: Math.round(use?.cpus ?? 0),
+      gpus: Math.round(use?.gpus ?? 0),
+    });
+  };
+  for (const name of books.doneOf.keys()) teamOf(name);
   for (const j of books.jobs.values()) {
+    const team = teamOf(j.spec.team);
+    team.open++;
+    team.waiting += waitingCount(j);
+    team.active += j.active.size;
     const c = (jobs[j.spec.class] ??= {
       jobs: 0,
       waiting: 0,
@@ -58,7 +85,7 @@
       else c.fetching++;
     }
   }
-  books.log('info', 'summary', { fleet, jobs, looked });
+  books.log('info', 'summary', { fleet, jobs, teams, looked });
 }
 
 /** What a job's waiting tasks wait for, in an operator's words. */
@@ -68,6 +95,6 @@
   if (job.breaking) return 'its attempt being taken down';
   if (job.notBefore > books.clock.now) return suspect(job) ? 'fails everywhere' : 'pause';
   const all = job.spec.shape === 'gang' ? waitingCount(job) : 1;
-  if (timesFits(job.spec, books.teamRoom(job.spec.team)) < all) return 'team limit';
+  if (timesFits(job.spec, books.teamRoom(job.spec)) < all) return 'team limit';
   return 'machine';
 }
--- a/src/policy/order.ts
+++ b/src/policy/order.ts
@@ -16,7 +16,9 @@
 /**
  * Placement order: work within its team's guarantee, then urgency, then work that can still keep any of its limits, then
  * work whose next limit is less than `pressingS` away, then HELIOS's order, then work that has missed fewer limits, then
- * the job whose next limit comes first. Work that has no limit at all uses what the others of its urgency leave.
+ * the job whose next limit comes first. Of work that can keep no limit any more, the job goes first that has waited longest
+ * for what it takes: so that in an overload many small jobs are not kept waiting by a few large ones, nor these for ever.
+ * Work that has no limit at all uses what the others of its urgency leave.
  */
 export function inOrder<T extends Queued>(
   jobs: T[],
@@ -40,6 +42,7 @@
       late: lateness(limits, ageS, runS),
       size: sizeClass(job.spec),
       slack,
+      response: ageS / (job.spec.tasks * Math.max(job.spec.cpus, least) * Math.max(runS, 1)),
     };
   });
   keyed.sort(
@@ -50,6 +53,7 @@
       Number(a.lost) - Number(b.lost) ||
       Number(b.pressing) - Number(a.pressing) ||
       b.size - a.size ||
+      ((a.lost && b.lost) || (a.pressing && b.pressing) ? b.response - a.response : 0) ||
       a.late - b.late ||
       a.slack - b.slack ||
       a.job.at - b.job.at ||
@@ -64,3 +68,5 @@
 
 /** Estimates are often wrong by half: a job counts as late only if even half of its estimate is too long. */
 const estimateShare = 0.5;
+/** CPUs that a task counts for at least. */
+const least = 0.01;
--- a/test/policy.test.ts
+++ b/test/policy.test.ts
@@ -7,6 +7,7 @@
 import { mayMove, moveBudget, spotAllowed } from '../src/policy/guardrails.js';
 import { HazardEstimate } from '../src/policy/hazard.js';
 import { moveUrgency, order, score, type Candidate } from '../src/policy/helios.js';
+import { inOrder } from '../src/policy/order.js';
 import { parseSubmission } from '../src/wire/user.js';
 import { box, settingsText, spec } from './world.js';
 
@@ -137,3 +138,15 @@
   assert.equal(gpuMachineOpen(spec('req-3', { estimateS: 300, gpus: 1 }), gpuBox, 0), true);
   assert.equal(gpuMachineOpen(long, box, 0), true);
 });
+
+// Guards against a day of many urgent gangs on which a few large ones that were late already kept all others waiting.
+test('order: of work that is late for good, what has waited longest for what it takes goes first', () => {
+  const objectives = [{ kind: 'wait', class: 'c', within_s: 10, times: 1 }];
+  const gang = (id: string, tasks: number, ageS: number) => ({
+    spec: spec(id, { shape: 'gang', tasks, cpus: 4 }),
+    at: 1e6 - ageS * 1000,
+  });
+  const jobs = [gang('large', 8, 100), gang('small', 1, 40), gang('older', 8, 400), gang('fresh', 8, 5)];
+  const ordered = inOrder(jobs, objectives, 1e6, 1).map((j) => j.spec.id);
+  assert.deepEqual(ordered, ['fresh', 'older', 'small', 'large']);
+});
