A test of leases gives a busy machine time

Change: 1,200 ms, renewed every 400 ms; what it asserts is unchanged.

Ruled out: skipping it under load.

--- a/test/store.test.ts
+++ b/test/store.test.ts
@@ -106,13 +106,13 @@
 
   test(`store ${form}: a lease takes its keys along, never early; renewed, it stays; ended, it goes at once`, () =>
     withStore(async (s) => {
-      const [a, b] = [(await s.lease(300))!, (await s.lease(300))!];
+      // Long enough for a machine that is busy with other tests.
+      const [a, b] = [(await s.lease(1200))!, (await s.lease(1200))!];
       await s.commit({ when: [], apply: [put('dp/a', 1, a), put('dp/b', 1, b)] });
       for (let i = 0; i < 4; i++) {
-        await pause(100);
+        await pause(400);
         assert.equal(await s.renew(a), 'ok');
       }
-      await pause(150);
       assert.deepEqual(
         ((await s.page('')) as { items: { key: string }[] }).items.map((i) => i.key),
         ['dp/a'],
