A level that is the newest is not logged at each change of the leader

Change: only a level that could rise, and does not, is told with its reason.

Ruled out: a debug level: nothing is learned from it.

--- a/src/core/upgrade.ts
+++ b/src/core/upgrade.ts
@@ -92,7 +92,7 @@
   }
 
   private say(why: string): void {
-    if (why === this.said) return;
+    if (why === this.said || why === '') return;
     this.said = why;
     this.log('info', 'level stays', { level: this.replica.levels.state.level, why });
   }
--- a/src/levels/decide.ts
+++ b/src/levels/decide.ts
@@ -31,6 +31,7 @@
 }
 
 export type Decision =
+  /** Why it stays; nothing: there is no newer one. */
   | { do: 'stay'; why: string }
   /** What members can do has changed: to be recorded. */
   | { do: 'note'; seen: Map<string, Ability> }
@@ -79,7 +80,7 @@
   const lacking = unable(to);
   if (to <= Math.min(s.newest, ceiling) && lacking.length === 0) return { do: 'raise', to, seen };
   if (changed) return { do: 'note', seen };
-  if (to > s.newest) return { do: 'stay', why: 'the newest level is in force' };
+  if (to > s.newest) return { do: 'stay', why: '' };
   if (to > ceiling) return { do: 'stay', why: `held at ${ceiling} by operators` };
   const who = lacking.map((m) => `${m} (${seen.get(m)?.program ?? 'never seen'})`);
   return { do: 'stay', why: `waits for ${who.join(', ')}` };
