--- /dev/null
+++ b/src/admission/admission.ts
@@ -0,0 +1,103 @@
+import { FairQueue, type Entry } from './fairqueue.js';
+import { Tickets, type Turned } from './tickets.js';
+
+/** Who is told to come later, and in how many seconds. */
+export interface Away<T> {
+  entry: T;
+  retryAfterS: number;
+}
+
+export interface AdmissionLimits {
+  /** So many may wait at once. */
+  most: number;
+  /** Whoever would wait longer than this is told so at once, ms. */
+  patienceMs: number;
+  /** How long users try, and the longest that they can be told to wait, ms. */
+  tryMs: number;
+  longestMs: number;
+  /** So many are remembered that were turned away. */
+  tickets: number;
+}
+
+/** How much of a pause is left to chance, so that those who are turned away together do not come back together. */
+const spread = 0.25;
+/** So many of a class may wait whatever its pace. */
+const leastRoom = 2;
+/** The last try is to come so long before its user gives up, ms. */
+const lastTryMs = 3000;
+
+/**
+ * Takes jobs in at the pace at which they can be written, fairly by team and class. What cannot be taken within the patience
+ * is turned away at once, with when to come again; who has tried longest goes first, and takes the place of the youngest of
+ * its class.
+ */
+export class Admission<T extends Entry> {
+  private readonly queue: FairQueue<T>;
+  readonly tickets: Tickets;
+  /** Jobs a second that this controller may take in; and that all may together. */
+  rate = 1;
+  wholeRate = 1;
+
+  constructor(
+    private readonly limits: AdmissionLimits,
+    teamWeight: (team: string) => number,
+    classWeight: (e: T) => number,
+    private readonly random: () => number,
+  ) {
+    this.queue = new FairQueue(teamWeight, classWeight);
+    this.tickets = new Tickets(limits.tickets, limits.tryMs);
+  }
+
+  get size(): number {
+    return this.queue.size;
+  }
+
+  /** Somebody wants in. Who is turned away for it: itself, or one of its class that has tried for less long. */
+  offer(e: T, now: number): Away<T> | null {
+    e.firstAt = Math.min(e.firstAt, this.tickets.first(e.id) ?? Infinity);
+    const whole = this.rate * (this.limits.patienceMs / 1000);
+    const full = this.queue.size >= this.limits.most;
+    // While all that wait can be taken in within the patience, it does not matter whose they are.
+    const crowded = full || this.queue.size >= whole;
+    const room = crowded ? Math.max(leastRoom, whole * this.queue.share(e)) : Infinity;
+    const { older, all } = this.queue.ahead(e);
+    if (older >= room || (full && all === 0)) return this.away(e, now);
+    const youngest = all + 1 > room || full ? this.queue.youngest(e) : undefined;
+    this.queue.add(e);
+    if (!youngest) return null;
+    this.queue.remove(youngest);
+    return this.away(youngest, now);
+  }
+
+  /** Who is taken in next. */
+  next(): T | null {
+    return this.queue.next();
+  }
+
+  /** Those that have waited for longer than this: the pace has fallen since they came. */
+  overdue(now: number, longestMs: number, since: (e: T) => number): Away<T>[] {
+    const late = [...this.queue].filter((e) => now - since(e) > longestMs);
+    return late.map((e) => {
+      this.queue.remove(e);
+      return this.away(e, now);
+    });
+  }
+
+  /** When to come again: when those of its class that were turned away before it will have had their turn. */
+  private away(e: T, now: number): Away<T> {
+    const ageMs = Math.max(0, now - e.firstAt);
+    this.tickets.note({ ...e, ageMs }, now);
+    const { tryMs, longestMs } = this.limits;
+    const pace = Math.max(1e-3, this.wholeRate * this.queue.share(e));
+    const turnMs = (1000 * this.tickets.outstanding(e.team, e.class) * Math.max(0, 1 - ageMs / tryMs)) / pace;
+    const some = turnMs * (1 + spread * (2 * this.random() - 1));
+    const left = tryMs - ageMs - lastTryMs;
+    const pause = Math.min(longestMs, some, left > 1000 ? left : longestMs);
+    return { entry: e, retryAfterS: Math.max(1, Math.round(pause / 100) / 10) };
+  }
+
+  /** What another controller has turned away. */
+  told(list: readonly Turned[], now: number): void {
+    for (const t of list) this.tickets.note(t, now);
+  }
+}
--- a/src/config/operators.ts
+++ b/src/config/operators.ts
@@ -39,6 +39,8 @@
   shards: 1,
   /** No level above this is taken part in (see upgrades); 0: all that the program knows. */
   'level-most': 0,
+  /** 1: jobs are taken in fairly by team and class, and the writes divided among all controllers (see admission). */
+  'fair-admission': 0,
   /** Share of the state service's writes that go into rewriting records after a change of the level. */
   'sweep-share': 0.1,
 };
--- a/src/core/committer.ts
+++ b/src/core/committer.ts
@@ -1,3 +1,4 @@
+import { Meter } from '../admission/index.js';
 import type { Condition, Txn, Write } from '../wire/store.js';
 import { txnOut } from '../wire/store.js';
 import { Attempts, pauseMs, type Random, type RetryPolicy } from '../retry/index.js';
@@ -41,10 +42,11 @@
   nodes: number;
 }
 
-/** How the share of the common budget that a controller takes rises while it is short, and falls when refused. */
+/** How the share of the common budget, or of its part of it, that a controller takes rises, and falls when refused. */
 const rise = 0.02;
 const fall = 0.7;
 const largestShare = 0.9;
+const leastHealth = 0.3;
 /** What the ranks get of the budget while all of them wait; what one does not use goes to the others, by rank. */
 const rankShares: Record<Rank, number> = { 0: 20, 1: 12, 2: 4, 3: 3, 4: 1 };
 
@@ -67,12 +69,16 @@
   private resendAt = 0;
   private readonly attempts: Attempts;
   private tokens: number;
-  /** Writes per second that this controller allows itself now; found by trying. */
-  private rate: number;
   private refilledAt = -1;
   private count = 0;
   private lastAt = -Infinity;
   private bulkOff = false;
+  private readonly others = new Meter(3000);
+  /** Its part of the writes, if they are divided; and the share of it that the state service let it have of late. */
+  private part: number | null = null;
+  health = 1;
+  /** Writes per second found by trying, where nothing is divided. */
+  private found: number;
   /** What each rank has coming from transactions in which it got less than its share. */
   private readonly credit: number[] = this.queues.map(() => 0);
 
@@ -86,7 +92,7 @@
   ) {
     this.attempts = new Attempts(retry, random);
     // Not knowing what the others need, each begins with more than an equal share.
-    this.rate = limits.nodes > 1 ? limits.writesPerS / 2 : limits.writesPerS * largestShare;
+    this.found = limits.nodes > 1 ? limits.writesPerS / 2 : limits.writesPerS * largestShare;
     this.tokens = this.rate;
   }
 
@@ -94,13 +100,33 @@
     this.queues[intent.rank].push(intent);
   }
 
+  /** Submissions that may be handed over now: few, so that who goes next is decided as late as possible. */
+  get userRoom(): number {
+    return Math.max(0, Math.min(this.limits.ops, Math.floor(this.tokens)) - this.queues[Rank.user].length);
+  }
+
+  /** Writes a second for all but users: those of late, and those that wait. */
+  tasksWanted(now: number): number {
+    const waiting = this.queues.reduce((n, q, rank) => (rank === Rank.user ? n : n + q.length), 0);
+    return this.others.rate(now) + waiting / 2;
+  }
+
+  /** What this controller may write, a second, as the division among all has it. */
+  allow(writesPerS: number): void {
+    this.part = writesPerS;
+  }
+
   get waiting(): number {
     return this.queues.reduce((n, q) => n + q.length, this.flight?.built.length ?? 0);
   }
 
   pump(now: number, out: Effect[]): void {
     if (this.refilledAt < 0) this.refilledAt = now;
-    this.tokens = Math.min(this.rate, this.tokens + ((now - this.refilledAt) / 1000) * this.rate);
+    // Guards against a part of less than one write a second, with which there would never be a whole one.
+    this.tokens = Math.min(
+      Math.max(1, this.rate),
+      this.tokens + ((now - this.refilledAt) / 1000) * this.rate,
+    );
     this.refilledAt = now;
     if (this.flight) {
       if (this.waitFor) {
@@ -181,6 +207,7 @@
     for (const { rank, allowed } of turns) take(rank, allowed);
     for (const { rank } of turns) if (!full()) take(rank, Infinity);
     if (built.length === 0) return;
+    for (const b of built) if (b.intent.rank !== Rank.user) this.others.add(b.txn.apply.length, now);
     const mark = `${this.run}.${++this.count}`;
     for (const w of apply)
       if (w.data !== undefined) w.data = { ...this.replica.extras(w.key), ...w.data, w: mark };
@@ -204,6 +231,11 @@
     });
   }
 
+  /** Writes per second that this controller allows itself now. */
+  private get rate(): number {
+    return this.part === null ? this.found : this.part * this.health;
+  }
+
   private send(now: number, out: Effect[]): void {
     this.sent = true;
     this.lastAt = now;
@@ -219,10 +251,11 @@
       case 'ok':
         this.flight = null;
         this.bulkOff = false;
+        this.health = Math.min(1, this.health + rise);
         if (this.tokens < 1 && this.waiting > 0)
-          this.rate = Math.min(
+          this.found = Math.min(
             this.limits.writesPerS * largestShare,
-            this.rate + this.limits.writesPerS * rise,
+            this.found + this.limits.writesPerS * rise,
           );
         // Our own writes are seen at once, not only when the watch delivers them.
         for (const w of flight.txn.apply) this.replica.apply({ key: w.key, data: w.data, stamp: o.epoch });
@@ -249,7 +282,8 @@
         }
         break;
       case 'busy':
-        this.rate = Math.max((this.limits.writesPerS / this.limits.nodes) * fall, this.rate * fall);
+        this.health = Math.max(leastHealth, this.health * fall);
+        this.found = Math.max((this.limits.writesPerS / this.limits.nodes) * fall, this.found * fall);
         this.tokens = Math.min(this.tokens, 0);
         this.resendAt = now + pauseMs(this.retry, 1, this.random);
         if (flight.unsure) this.sent = false;
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -1,3 +1,4 @@
+import { alonePart, partsOf, type Wants } from '../admission/index.js';
 import type { Operators } from '../config/operators.js';
 import type { Settings } from '../config/settings.js';
 import { abilityOf, Leaving, Levels, type Phase } from '../levels/index.js';
@@ -49,6 +50,8 @@
   private shardsChanged = true;
   private checkedAt = -Infinity;
   private saidLevel = '';
+  private toldAwayAt = -Infinity;
+  private readonly fair: boolean;
 
   constructor(
     private readonly settings: Settings,
@@ -62,6 +65,7 @@
     /** Which program this is, for those who look after a roll. */
     program = '?',
   ) {
+    this.fair = operators['fair-admission'] > 0;
     this.levels = new Levels(abilityOf(program, operators['level-most']));
     const leaseMs = settings.workers.lease_s * 1000;
     this.leaving = new Leaving(leaseMs * handLeases, leaseMs * drainLeases);
@@ -71,7 +75,10 @@
     const { clock } = this;
     this.replica = new Replica(
       {
-        jobChanged: (id, now) => this.dispatcher.books.jobChanged(id, now),
+        jobChanged: (id, now) => {
+          if (now?.state === 'open') this.desk.taken(id);
+          this.dispatcher.books.jobChanged(id, now);
+        },
         machineChanged: (host, now) => this.dispatcher.books.machineChanged(host, now),
         shardChanged: () => (this.shardsChanged = true),
         weighty: (change) => this.neighbours.noteWeighty(change),
@@ -113,7 +120,7 @@
       log,
     );
     this.neighbours = new Neighbours(settings, operators, run, replica, clock, ttlMs);
-    this.desk = new Desk(settings, replica, committer, clock, limits.waiting);
+    this.desk = new Desk(settings, replica, committer, clock, limits.waiting, this.fair, random);
     this.dispatcher = new Dispatcher(settings, operators, run, replica, committer, clock, log, matcher);
     this.upgrade = new Upgrade(settings, replica, committer, this.membership, clock, ttlMs, log);
     this.fleet = new Fleet(settings, operators, replica, committer, clock, retry.cloud, random, log);
@@ -176,6 +183,7 @@
     if (this.leaving.asked) this.membership.leave(out);
     this.dispatcher.tick(out);
     this.reports.tick(out);
+    if (this.fair) this.divide(out);
     this.desk.pump(out, this.view.vouchedAt);
     this.committer.pump(now, out);
     if (this.view.wantsVouching) this.neighbours.ask(out);
@@ -227,7 +235,27 @@
     const { front } = this.reports;
     const news = front !== this.wasFront ? this.replica.epoch : epoch;
     this.wasFront = front;
-    this.neighbours.tell(out, this.reports.busy, front, news);
+    this.neighbours.tell(out, this.reports.busy, front, this.wants, news);
+  }
+
+  private get wants(): Wants {
+    const { now } = this.clock;
+    return { tasks: Math.round(this.committer.tasksWanted(now)), users: Math.round(this.desk.usersWanted()) };
+  }
+
+  /** This controller's part of the writes, and those that it takes in with it. */
+  private divide(out: Effect[]): void {
+    const writes = this.settings.state.write_rps;
+    const others = this.neighbours.wants();
+    const n = 1 + others.length;
+    const alone = alonePart(writes, n);
+    const heard = others.map((w) => w ?? { tasks: alone.total, users: 0 });
+    const parts = partsOf(writes, [this.wants, ...heard]);
+    this.committer.allow(parts[0].total);
+    // The state service may take less than it is said to.
+    const { health } = this.committer;
+    const all = parts.reduce((sum, p) => sum + p.users, 0);
+    this.desk.admit(parts[0].users * health, all * health, out);
   }
 
   private settle(): void {
@@ -245,6 +273,7 @@
     const { now } = this.clock;
     if (now - this.checkedAt < this.membership.ttlMs / 16) return;
     this.checkedAt = now;
+    this.tellAway();
     const { dispatcher, recovery } = this;
     const { unproven } = dispatcher;
     const t = recovery.step(now, {
@@ -266,6 +295,22 @@
     if (r) this.log(r.late ? 'warn' : 'info', r.late ? 'recovered late' : 'recovered', { ...r });
   }
 
+  /** For operators: who was turned away since this was last told, most first. */
+  private tellAway(): void {
+    const { now } = this.clock;
+    const { away } = this.desk;
+    if (away.size === 0 || now - this.toldAwayAt < this.settings.workers.lease_s * 500) return;
+    this.toldAwayAt = now;
+    const most = [...away].sort((a, b) => b[1] - a[1]);
+    const total = most.reduce((sum, [, n]) => sum + n, 0);
+    this.log('info', 'turned away', {
+      total,
+      by: Object.fromEntries(most.slice(0, mostNamed)),
+      ...this.wants,
+    });
+    away.clear();
+  }
+
   private handle(c: Command, out: Effect[]): void {
     switch (c.c) {
       case 'tick':
@@ -298,6 +343,9 @@
         }
         break;
       }
+      case 'turned':
+        this.desk.told(c.list);
+        break;
       case 'pulse':
         this.neighbours.pulse(c.from, c.pulse);
         if (c.pulse.epoch > this.replica.epoch) out.push({ e: 'catch-up', epoch: c.pulse.epoch });
--- a/src/core/desk.ts
+++ b/src/core/desk.ts
@@ -1,6 +1,8 @@
+import { Admission, Bucket, Meter, type Away, type Entry, type Turned } from '../admission/index.js';
 import type { Settings } from '../config/settings.js';
 import { admissible } from '../policy/admission.js';
-import type { JobSpec } from '../model/job.js';
+import { urgencyRank, type JobSpec } from '../model/job.js';
+import type { Random } from '../retry/index.js';
 import { isJobId, jobStatus } from '../wire/user.js';
 import { Rank, type Committer } from './committer.js';
 import type { Clock, Effect } from './effects.js';
@@ -19,6 +21,19 @@
   then: 'status' | 'withdraw' | { status: number; body: object };
 }
 
+/** A submission that waits to be taken in. */
+interface Newcomer extends Entry {
+  spec: JobSpec;
+  rids: number[];
+  since: number;
+}
+
+/** Whoever would wait longer than this, of the 5 s that users wait for an answer, is told so at once. */
+const patienceMs = 3000;
+/** How long users try, and the longest `Retry-After` that they heed. */
+const tryMs = 60_000;
+const longestRetryMs = 30_000;
+
 /** Answers that the users' time limits (2 s for a poll, 5 s for the others) leave no room to wait longer for. */
 const giveUpMs = 1500;
 const giveUpWriteMs = 4000;
@@ -31,7 +46,15 @@
 export class Desk {
   private waiters: Waiter[] = [];
   private reading = false;
+  /** Submissions that wait to be taken in, and those whose write is under way. */
+  private readonly newcomers = new Map<string, Newcomer>();
   private readonly submits = new Map<string, { rids: number[]; since: number }>();
+  private readonly admission: Admission<Newcomer>;
+  private readonly arrivals = new Meter();
+  private readonly bucket = new Bucket();
+  private turned: Turned[] = [];
+  /** Who was turned away, by team and class. */
+  readonly away = new Map<string, number>();
   private readonly withdrawals = new Map<string, { rids: number[]; since: number }>();
 
   constructor(
@@ -41,7 +64,22 @@
     private readonly clock: Clock,
     /** How many requests may wait. */
     private readonly mostWaiting: number,
-  ) {}
+    /** Jobs are taken in fairly by team and class. */
+    private readonly fair: boolean,
+    random: Random,
+  ) {
+    const guaranteed = settings.teams.reduce((sum, t) => sum + t.cpus, 0);
+    const weightOf = (team: string): number => {
+      const cpus = settings.teams.find((t) => t.name === team)?.cpus ?? 0;
+      return 1 + (guaranteed > 0 ? cpus / guaranteed : 0);
+    };
+    this.admission = new Admission(
+      { most: mostWaiting, patienceMs, tryMs, longestMs: longestRetryMs, tickets: mostWaiting },
+      weightOf,
+      (e) => 2 ** urgencyRank[e.spec.urgency],
+      random,
+    );
+  }
 
   submit(rid: number, spec: JobSpec, out: Effect[]): void {
     if (this.replica.epoch < 0 || this.replica.types.length === 0) return this.later(rid, out);
@@ -55,8 +93,86 @@
       pending.rids.push(rid);
       return;
     }
-    if (this.submits.size >= this.mostWaiting) return this.later(rid, out);
-    const mine = { rids: [rid], since: this.clock.now };
+    const waits = this.newcomers.get(spec.id);
+    if (waits) {
+      waits.rids.push(rid);
+      return;
+    }
+    const { now } = this.clock;
+    const e = {
+      id: spec.id,
+      team: spec.team,
+      class: spec.class,
+      firstAt: now,
+      spec,
+      rids: [rid],
+      since: now,
+    };
+    if (!this.fair) {
+      if (this.submits.size >= this.mostWaiting) return this.later(rid, out);
+      return this.commitNew(e);
+    }
+    this.arrivals.add(1, now);
+    this.newcomers.set(e.id, e);
+    const away = this.admission.offer(e, now);
+    if (away) this.turnAway(away, out);
+  }
+
+  /** What users want of the writes, a second. */
+  usersWanted(): number {
+    return this.arrivals.rate(this.clock.now) + this.admission.size;
+  }
+
+  /** Jobs that other controllers have turned away: here they are not the last either. */
+  told(list: readonly Turned[]): void {
+    this.admission.told(
+      list.filter((t) => !this.replica.jobs.has(t.id)),
+      this.clock.now,
+    );
+  }
+
+  /** A job is accepted, by whomever. */
+  taken(id: string): void {
+    this.admission.tickets.end(id);
+  }
+
+  private turnAway({ entry, retryAfterS }: Away<Newcomer>, out: Effect[]): void {
+    this.newcomers.delete(entry.id);
+    const kind = `${entry.team} ${entry.class}`;
+    this.away.set(kind, (this.away.get(kind) ?? 0) + 1);
+    const { id, team, class: cls, firstAt } = entry;
+    this.turned.push({ id, team, class: cls, ageMs: Math.round(this.clock.now - firstAt) });
+    for (const rid of entry.rids)
+      out.push({
+        e: 'answer',
+        rid,
+        status: 429,
+        body: { error: 'more is asked than can be taken' },
+        retryAfterS,
+      });
+  }
+
+  /** Takes in as many as may be written now, by this controller and by all together, a second. */
+  admit(rate: number, whole: number, out: Effect[]): void {
+    const { now } = this.clock;
+    this.admission.rate = rate;
+    this.admission.wholeRate = whole;
+    let room = Math.min(this.bucket.fill(rate, now), this.committer.userRoom);
+    for (; room > 0; room--) {
+      const e = this.admission.next();
+      if (!e) break;
+      this.bucket.take(1);
+      this.newcomers.delete(e.id);
+      this.commitNew(e);
+    }
+    for (const away of this.admission.overdue(now, giveUpWriteMs, (e) => e.since)) this.turnAway(away, out);
+    if (this.turned.length === 0) return;
+    out.push({ e: 'turned', list: this.turned });
+    this.turned = [];
+  }
+
+  private commitNew({ spec, rids }: Newcomer): void {
+    const mine = { rids, since: this.clock.now };
     this.submits.set(spec.id, mine);
     const answer = (f: (rid: number) => void) => {
       this.submits.delete(spec.id);
@@ -68,10 +184,12 @@
         when: [{ key: jobKey(spec.id), stamp: 0 }],
         apply: [{ key: jobKey(spec.id), data: jobData(spec, this.clock.wall) }],
       }),
-      ok: () =>
+      ok: () => {
+        this.admission.tickets.end(spec.id);
         answer((r) =>
           this.out.push({ e: 'answer', rid: r, status: 201, body: { nameId: spec.id, status: 'pending' } }),
-        ),
+        );
+      },
       conflict: () => answer((r) => this.query(r, spec.id, this.out)),
       refused: () => {
         answer((r) => this.later(r, this.out));
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -1,3 +1,4 @@
+import type { Turned, Wants } from '../admission/index.js';
 import type { JobSpec } from '../model/job.js';
 import type { MachineType } from '../model/machine.js';
 import type { Order, Report } from '../model/report.js';
@@ -15,6 +16,8 @@
   busy: number;
   /** Its workers may stay at whoever they reach: their reports are to be relayed. */
   front: boolean;
+  /** What it wants of the state service's writes, a second; null: it is of a program that does not say. */
+  wants: Wants | null;
 }
 
 /** What the adapters bring to the core. `rid` names a request that waits for its answer. */
@@ -26,6 +29,8 @@
   | { c: 'checkin'; rid: number; report: Report; from?: string }
   | { c: 'relayed'; rid: number; status: number; body: object | string }
   | { c: 'pulse'; from: string; pulse: Pulse }
+  /** Jobs that another controller has turned away. */
+  | { c: 'turned'; list: Turned[] }
   /** What a peer wants to know, and what another has answered us. */
   | { c: 'asked'; from: string; question: Question }
   | { c: 'vouched'; from: string; run: string; question: Question; known: Change[] }
@@ -77,6 +82,7 @@
   /** Hand a worker's report to the controller that owns its machine; its answer comes as 'relayed'. */
   | { e: 'relay'; to: string; rid: number; report: Report }
   | { e: 'pulse'; pulse: Pulse }
+  | { e: 'turned'; list: Turned[] }
   | { e: 'ask'; question: Question }
   | { e: 'vouch'; to: string; question: Question; known: Change[] }
   | { e: 'lease'; ttlMs: number }
--- a/src/core/neighbours.ts
+++ b/src/core/neighbours.ts
@@ -1,3 +1,4 @@
+import type { Wants } from '../admission/index.js';
 import type { Settings } from '../config/settings.js';
 import type { Operators } from '../config/operators.js';
 import { admits } from '../levels/index.js';
@@ -22,6 +23,7 @@
   private readonly others = new Map<string, Other>();
   private readonly recent = new Recent(mostRecent);
   private readonly vouching: Vouching;
+  private readonly members: readonly string[];
   private pulsedAt = -Infinity;
   /** The newest revision that a peer told of, and when, ms. */
   told = { epoch: -1, at: -Infinity };
@@ -34,7 +36,7 @@
     private readonly clock: Clock,
     private readonly ttlMs: number,
   ) {
-    const members = settings.peers.map((p) => p.member);
+    const members = (this.members = settings.peers.map((p) => p.member));
     // Several questions fit into the time for which one answer is good.
     this.vouching = new Vouching(run, members, Math.min(ttlMs / 4, operators['grant-s'] * 50));
   }
@@ -76,12 +78,24 @@
   }
 
   /** Tells the others of us, at once when there is news and from time to time without. */
-  tell(out: Effect[], busy: number, front: boolean, news: number | null): void {
+  tell(out: Effect[], busy: number, front: boolean, wants: Wants, news: number | null): void {
     const { now } = this.clock;
     if (news === null && now - this.pulsedAt < this.ttlMs / pulsesPerLease) return;
     this.pulsedAt = now;
     const epoch = Math.max(this.replica.epoch, news ?? -1);
-    out.push({ e: 'pulse', pulse: { epoch, run: this.run, busy: Math.round(busy * 1000), front } });
+    out.push({ e: 'pulse', pulse: { epoch, run: this.run, busy: Math.round(busy * 1000), front, wants } });
+  }
+
+  /**
+   * What each of the other controllers wants of the writes; null: it is here, but is not heard. One whose presence is gone
+   * writes nothing.
+   */
+  wants(): (Wants | null)[] {
+    return this.members.map((m) => {
+      const o = this.others.get(m);
+      if (this.replica.epoch >= 0 && !this.replica.nodes.has(m)) return { tasks: 0, users: 0 };
+      return o && this.isFresh(o) ? (o.pulse.wants ?? null) : null;
+    });
   }
 
   // ---- vouching ----
--- a/src/peers/frames.ts
+++ b/src/peers/frames.ts
@@ -1,4 +1,5 @@
 import protobuf from 'protobufjs/light.js';
+import type { Turned, Wants } from '../admission/index.js';
 import type { Speaks } from '../formats/index.js';
 import type { Pulse } from '../core/effects.js';
 import type { ExitWhy, Report, TaskPhase } from '../model/report.js';
@@ -12,7 +13,7 @@
 const root = protobuf.Root.fromJSON({
   nested: {
     Frame: {
-      oneofs: { body: { oneof: ['hello', 'relay', 'relayed', 'pulse', 'ask', 'vouch'] } },
+      oneofs: { body: { oneof: ['hello', 'relay', 'relayed', 'pulse', 'ask', 'vouch', 'turned'] } },
       fields: {
         hello: { type: 'Hello', id: 1 },
         relayed: { type: 'Relayed', id: 3 },
@@ -20,6 +21,7 @@
         relay: { type: 'Relay', id: 5 },
         ask: { type: 'Ask', id: 6 },
         vouch: { type: 'Vouch', id: 7 },
+        turned: { type: 'Turned', id: 8 },
       },
     },
     Hello: {
@@ -76,6 +78,19 @@
         busy: { type: 'uint32', id: 3 },
         /** Its workers may stay at whoever they reach: their reports are to be relayed. */
         front: { type: 'bool', id: 4 },
+        /** Writes a second that the sender wants, for what was accepted and for users. */
+        tasks: { type: 'uint32', id: 5 },
+        users: { type: 'uint32', id: 6 },
+      },
+    },
+    /** Jobs that were turned away, and since when their users try. */
+    Turned: { fields: { list: { rule: 'repeated', type: 'Away', id: 1 } } },
+    Away: {
+      fields: {
+        id: { type: 'string', id: 1 },
+        team: { type: 'string', id: 2 },
+        class: { type: 'string', id: 3 },
+        ageMs: { type: 'uint32', id: 4 },
       },
     },
     /** What do you know above this revision? */
@@ -117,6 +132,7 @@
   | { relayed: { id: number; status: number; body: string } }
   | { pulse: Pulse }
   | { ask: Question }
+  | { turned: { list: Turned[] } }
   | { vouch: { ask: Question; run: string; known: string } };
 
 interface RawTask {
@@ -158,6 +174,10 @@
 
 function wireOf(frame: Frame): object {
   if ('relay' in frame) return { relay: { id: frame.relay.id, report: reportOut(frame.relay.report) } };
+  if ('pulse' in frame) {
+    const { wants, ...rest } = frame.pulse;
+    return { pulse: { ...rest, ...wants } };
+  }
   if (!('hello' in frame)) return frame;
   const { member, run, speaks } = frame.hello;
   return { hello: { member, run, ...speaks } };
@@ -186,8 +206,13 @@
     return { relayed: { id, status, body: text } };
   }
   if (f['pulse']) {
-    const { epoch, run, busy, front } = f['pulse'] as Pulse;
-    return { pulse: { epoch, run, busy, front } };
+    const { epoch, run, busy, front, tasks, users } = f['pulse'] as Omit<Pulse, 'wants'> & Wants;
+    const wants = Object.hasOwn(f['pulse'], 'tasks') ? { tasks, users } : null;
+    return { pulse: { epoch, run, busy, front, wants } };
+  }
+  if (f['turned']) {
+    const { list } = f['turned'] as { list: Turned[] };
+    return { turned: { list: list.map(({ id, team, class: c, ageMs }) => ({ id, team, class: c, ageMs })) } };
   }
   if (f['ask']) {
     const { nonce, epoch, run } = f['ask'] as Question;
--- a/src/service.ts
+++ b/src/service.ts
@@ -180,6 +180,7 @@
   }
 
   private fromPeer(from: string, frame: Frame): void {
+    if ('turned' in frame) return this.push({ c: 'turned', list: frame.turned.list });
     if ('pulse' in frame) return this.push({ c: 'pulse', from, pulse: frame.pulse });
     if ('relay' in frame) {
       // Below zero, so that they never meet the numbers of our own server's requests.
@@ -230,6 +231,9 @@
       case 'pulse':
         for (const p of this.settings.peers) this.mesh?.send(p.member, { pulse: e.pulse });
         break;
+      case 'turned':
+        for (const p of this.settings.peers) this.mesh?.send(p.member, { turned: { list: e.list } });
+        break;
       case 'ask':
         for (const p of this.settings.peers) this.mesh?.send(p.member, { ask: e.question });
         break;
--- a/test/measure.ts
+++ b/test/measure.ts
@@ -281,6 +281,7 @@
 const what: Record<string, () => Promise<void>> = {
   store,
   match,
+  flood: async () => (await import('./measureflood.js')).flood(say),
   levels: async () => (await import('./measurelevels.js')).levels(say),
   restart,
   batch: () => batch(null),
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -448,12 +448,14 @@
   const got = reader.push(
     Buffer.concat([
       frame.subarray(3),
-      encodeFrame({ pulse: { epoch: 2 ** 40, run: 'a', busy: 7, front: true } }),
+      encodeFrame({
+        pulse: { epoch: 2 ** 40, run: 'a', busy: 7, front: true, wants: { tasks: 3, users: 4 } },
+      }),
     ]),
   );
   assert.deepEqual(got, [
     { relayed: { id: 7, status: 200, body: '{"x":"ä"}' } },
-    { pulse: { epoch: 2 ** 40, run: 'a', busy: 7, front: true } },
+    { pulse: { epoch: 2 ** 40, run: 'a', busy: 7, front: true, wants: { tasks: 3, users: 4 } } },
   ]);
   assert.throws(() => reader.push(Buffer.from('ffffffff00', 'hex')));
   assert.throws(() => new FrameReader().push(Buffer.from('00000003ffffff', 'hex')));
--- a/test/world.ts
+++ b/test/world.ts
@@ -382,6 +382,9 @@
       case 'pulse':
         this.tellPeers((to) => to.push({ c: 'pulse', from: this.member, pulse: e.pulse }));
         break;
+      case 'turned':
+        this.tellPeers((to) => to.push({ c: 'turned', list: e.list }));
+        break;
       case 'ask':
         this.tellPeers((to) => to.push({ c: 'asked', from: this.member, question: e.question }));
         break;
