A controller that wants nothing says so: zeros are not sent in messages

Cause: protobuf leaves zeros out. A controller that wanted no writes was taken for an earlier program that does not say what it wants, and had an equal share kept for it.

Change: a field says that it says. A test sends zeros and nothing.

Ruled out: taking silence for wanting nothing, which would take an earlier controller's writes away.

--- a/src/peers/frames.ts
+++ b/src/peers/frames.ts
@@ -81,6 +81,8 @@
         /** Writes a second that the sender wants, for what was accepted and for users. */
         tasks: { type: 'uint32', id: 5 },
         users: { type: 'uint32', id: 6 },
+        /** It says what it wants. Zeros are not sent: without this, one that wants nothing would look like one that does not say. */
+        says: { type: 'bool', id: 7 },
       },
     },
     /** Jobs that were turned away, and since when their users try. */
@@ -176,7 +178,7 @@
   if ('relay' in frame) return { relay: { id: frame.relay.id, report: reportOut(frame.relay.report) } };
   if ('pulse' in frame) {
     const { wants, ...rest } = frame.pulse;
-    return { pulse: { ...rest, ...wants } };
+    return { pulse: { ...rest, ...wants, says: wants !== null } };
   }
   if (!('hello' in frame)) return frame;
   const { member, run, speaks } = frame.hello;
@@ -206,8 +208,9 @@
     return { relayed: { id, status, body: text } };
   }
   if (f['pulse']) {
-    const { epoch, run, busy, front, tasks, users } = f['pulse'] as Omit<Pulse, 'wants'> & Wants;
-    const wants = Object.hasOwn(f['pulse'], 'tasks') ? { tasks, users } : null;
+    const pulse = f['pulse'] as Omit<Pulse, 'wants'> & Wants & { says: boolean };
+    const { epoch, run, busy, front, tasks, users } = pulse;
+    const wants = pulse.says ? { tasks, users } : null;
     return { pulse: { epoch, run, busy, front, wants } };
   }
   if (f['turned']) {
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -457,6 +457,11 @@
     { relayed: { id: 7, status: 200, body: '{"x":"ä"}' } },
     { pulse: { epoch: 2 ** 40, run: 'a', busy: 7, front: true, wants: { tasks: 3, users: 4 } } },
   ]);
+  // Guards against zeros, which are not sent: who wants nothing was taken for one that does not say what it wants.
+  for (const wants of [{ tasks: 0, users: 0 }, null]) {
+    const pulse = { epoch: 1, run: 'a', busy: 0, front: false, wants };
+    assert.deepEqual(new FrameReader().push(encodeFrame({ pulse })), [{ pulse }]);
+  }
   assert.throws(() => reader.push(Buffer.from('ffffffff00', 'hex')));
   assert.throws(() => new FrameReader().push(Buffer.from('00000003ffffff', 'hex')));
 });
