An agent that is ended while it asks to be let in takes nothing up when the answer comes

In a program it could have begun commands while ending.

Change: after each answer the agent looks whether it was ended: on joining, reporting and fetching a description. Ruled out: waiting in the test until all had joined (the fault is the agent's).

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -138,7 +138,7 @@
 
   private async run(): Promise<void> {
     while (!this.stopped && !(await this.join()))
-      await this.pause(pauseMs(this.retry, ++this.failures, this.random));
+      if (!this.stopped) await this.pause(pauseMs(this.retry, ++this.failures, this.random));
     if (this.stopped) return;
     this.failures = 0;
     const ticker = setInterval(() => {
@@ -152,6 +152,7 @@
     while (!this.stopped) {
       const sentAt = performance.now();
       await this.untilNews(await this.checkin());
+      if (this.stopped) return;
       const least = this.joined!.reportS * 1000 * leastShare;
       await this.pause(Math.max(0, least - (performance.now() - sentAt)));
       this.soon = false;
@@ -191,6 +192,8 @@
       attrs: { OpSys: 'LINUX', Arch: archOf(process.arch), ...attrs },
     };
     const r = await this.clients[this.target].call('POST', '/agents', body, answerMs);
+    // Guards against an agent that was ended while it asked, and would take up commands all the same.
+    if (this.stopped) return false;
     const joined = r?.status === 200 ? parseJoined(r.body) : null;
     if (!joined) {
       if (r) this.log('warn', 'not let in', { status: r.status, body: r.body });
@@ -251,6 +254,7 @@
     const report = worker.report();
     if (report.seq >= this.self.seqFrom) this.remember();
     const r = await this.clients[this.target].call('POST', '/checkin', agentReportOut(report), answerMs);
+    if (this.stopped) return 0;
     const reportMs = this.joined!.reportS * 1000;
     if (r?.status === 200) {
       this.failures = 0;
@@ -342,6 +346,7 @@
     const worker = this.worker!;
     for (let tries = 1; task.phase === 'fetching' && !this.stopped; tries++) {
       const job = await this.describe(task.job);
+      if (this.stopped) return;
       if (job === 'unknown') return this.carryOut(worker.exited(task, 'unknown', null, false));
       if (job) {
         if (!this.hasRoom(task, job)) return this.carryOut(worker.exited(task, 'full', null, false));
--- a/test/agent.test.ts
+++ b/test/agent.test.ts
@@ -1,12 +1,15 @@
 import assert from 'node:assert/strict';
 import { existsSync, mkdtempSync, readFileSync, rmSync, statSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { join } from 'node:path';
 import { test } from 'node:test';
+import { Agent } from '../src/agent/index.js';
 import { Records } from '../src/agent/records.js';
 import { Runner } from '../src/agent/runner.js';
 import { Worker, type WorkerEffect } from '../src/agent/worker.js';
-import { parseAgentSettings } from '../src/agent/settings.js';
+import { agentDefaults, parseAgentSettings } from '../src/agent/settings.js';
 import { parseControlSettings } from '../src/control/settings.js';
 import type { AgentJob, HeldTask, TaskResult } from '../src/wire/agentside.js';
 import type { Order } from '../src/model/report.js';
@@ -241,3 +244,34 @@
   assert.deepEqual([a.type, a.attrs], ['c2-g0-m1', { n: 3 }]);
   writeFileSync('/dev/null', '');
 });
+
+test('an agent that is ended while it asks to be let in takes nothing up when the answer comes', async () => {
+  const dir = mkdtempSync(join(tmpdir(), 'dapplepick-agent-'));
+  let answer = (): void => undefined;
+  const asked = new Promise<void>((came) => {
+    answer = () => came();
+  });
+  let tell = (): void => undefined;
+  const control = createServer((_, res) => {
+    tell = () => res.end(JSON.stringify({ host: 'd.1', reportS: 1, leaseS: 6, gangWaitS: 9 }));
+    answer();
+  });
+  await new Promise<void>((r) => control.listen(0, '127.0.0.1', () => r()));
+  const { port } = control.address() as AddressInfo;
+  const said: string[] = [];
+  const agent = new Agent(
+    { ...agentDefaults(), name: 'a', controls: [`127.0.0.1:${port}`], controlNames: ['c'], directory: dir },
+    () => 0.5,
+    (_, message) => void said.push(message),
+  );
+  await agent.start();
+  await asked;
+  agent.stop();
+  // Guards against commands that are begun by a process that is ending, and against the error that ended it.
+  tell();
+  await new Promise((r) => setTimeout(r, 200));
+  assert.deepEqual(said, []);
+  control.closeAllConnections();
+  control.close();
+  rmSync(dir, { recursive: true, force: true });
+});
