--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -74,13 +74,10 @@
     return this.queue.next();
   }
 
-  /** Those that have waited for longer than this: the pace has fallen since they came. */
-  overdue(now: number, longestMs: number, since: (e: T) => number): Away<T>[] {
-    const late = [...this.queue].filter((e) => now - since(e) > longestMs);
-    return late.map((e) => {
-      this.queue.remove(e);
-      return this.away(e, now);
-    });
+  /** It has waited for too long: the pace has fallen since it came. */
+  overdue(e: T, now: number): Away<T> {
+    this.queue.remove(e);
+    return this.away(e, now);
   }
 
   /** When to come again: when those of its class that were turned away before it will have had their turn. */
--- a/src/admission/fairqueue.ts
+++ b/src/admission/fairqueue.ts
@@ -48,14 +48,12 @@
   }
 
   add(e: T): void {
-    const team = this.teams.open(e.team, () => ({
-      ...blank(this.teamWeight(e.team)),
+    const team = this.teams.enter(e.team, this.teamWeight(e.team), (lane) => ({
+      ...lane,
       classes: new Turns<ClassLane<T>>(),
     }));
-    const lane = team.classes.open(e.class, () => ({ ...blank(this.classWeight(e)), items: [] as T[] }));
+    const lane = team.classes.enter(e.class, this.classWeight(e), (l) => ({ ...l, items: [] }));
     lane.items.splice(place(lane.items, e.firstAt), 0, e);
-    lane.waiting++;
-    team.waiting++;
     this.count++;
   }
 
@@ -70,9 +68,7 @@
     const at = lane?.items.indexOf(e) ?? -1;
     if (!team || !lane || at < 0) return false;
     lane.items.splice(at, 1);
-    lane.waiting--;
-    team.waiting--;
-    this.count--;
+    this.left(team, lane);
     return true;
   }
 
@@ -82,20 +78,22 @@
     const lane = team?.classes.next();
     const e = lane?.items.shift();
     if (!team || !lane || !e) return null;
-    lane.waiting--;
-    team.waiting--;
-    this.count--;
+    this.left(team, lane);
     return e;
   }
 
+  private left(team: TeamLane<T>, lane: ClassLane<T>): void {
+    team.classes.leave(lane);
+    this.teams.leave(team);
+    this.count--;
+  }
+
   /** All entries, of no order. */
   *[Symbol.iterator](): Generator<T> {
     for (const t of this.teams) for (const c of t.classes) yield* c.items;
   }
 }
 
-const blank = (weight: number): Lane => ({ pass: 0, weight, waiting: 0 });
-
 /** Where one that tried at this time belongs: behind those that tried before or at the same time. */
 function place(items: readonly Entry[], firstAt: number): number {
   let lo = 0;
--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -1,6 +1,13 @@
 export { Admission, type AdmissionLimits, type Away } from './admission.js';
 export { FairQueue, type Entry } from './fairqueue.js';
+export { Floors, longestWaitS, type KindUse, type Owed } from './floors.js';
+export { jain } from './jain.js';
 export { maxMin, type Claim } from './maxmin.js';
 export { Bucket, Meter } from './pace.js';
 export { alonePart, partsOf, type Parts, type Wants } from './parts.js';
+export { differs, floorOf, kindName, mostKinds, nextPlan, wholeOf, withoutPlan } from './plan.js';
+export type { Demand, KindWant, Member, Plan, PlanPart } from './plan.js';
+export { Pressure, type Load, type Picture } from './pressure.js';
 export { Tickets, type Turned } from './tickets.js';
+export { teamWeights } from './weights.js';
+export { Wishes } from './wishes.js';
--- a/src/admission/pace.ts
+++ b/src/admission/pace.ts
@@ -22,15 +22,20 @@
   }
 }
 
-/** Lets so much through a second; what was not used for a second may be used at once. */
+/** Lets so much through a second; what was not used for a while may be used at once. */
 export class Bucket {
   private tokens = 0;
   private at = -1;
 
+  /** `overS`: what was not used is kept for so long, s. */
+  constructor(private readonly overS = 1) {}
+
   /** Whole tokens that are there now. */
   fill(rate: number, now: number): number {
     this.tokens =
-      this.at < 0 ? rate : Math.min(Math.max(1, rate), this.tokens + ((now - this.at) / 1000) * rate);
+      this.at < 0
+        ? rate
+        : Math.min(Math.max(1, rate * this.overS), this.tokens + ((now - this.at) / 1000) * rate);
     this.at = now;
     return Math.floor(this.tokens);
   }
--- a/src/config/operators.ts
+++ b/src/config/operators.ts
@@ -41,6 +41,10 @@
   'level-most': 0,
   /** 1: jobs are taken in fairly by team and class, and the writes divided among all controllers (see admission). */
   'fair-admission': 0,
+  /** Of an equal part of the room: what each team and class that waits is to have had over a window (see admission); 0: none. */
+  'floor-share': 0,
+  /** The window, in worker leases. */
+  'floor-leases': 2,
   /** Share of the state service's writes that go into rewriting records after a change of the level. */
   'sweep-share': 0.1,
 };
@@ -59,11 +63,19 @@
       throw new SettingsError(`${origin}: line ${line}: ${name}: must be a number of at least 0`);
     out[name as keyof Operators] = n;
   }
-  for (const key of ['round-s', 'hazard-step-s', 'move-window-s', 'grant-s', 'node-lease-ratio'] as const)
+  for (const key of [
+    'round-s',
+    'hazard-step-s',
+    'move-window-s',
+    'grant-s',
+    'node-lease-ratio',
+    'floor-leases',
+  ] as const)
     if (out[key] <= 0) throw new SettingsError(`${origin}: ${key}: must be above 0`);
   if (out.headroom >= 1) throw new SettingsError(`${origin}: headroom: must be below 1`);
   if (!Number.isInteger(out['level-most']))
     throw new SettingsError(`${origin}: level-most: must be a whole number`);
+  if (out['floor-share'] > 1) throw new SettingsError(`${origin}: floor-share: must be at most 1`);
   if (out['sweep-share'] > 1) throw new SettingsError(`${origin}: sweep-share: must be at most 1`);
   if (!Number.isInteger(out.shards)) throw new SettingsError(`${origin}: shards: must be a whole number`);
   return out;
--- a/src/core/books/books.ts
+++ b/src/core/books/books.ts
@@ -1,3 +1,4 @@
+import { Floors } from '../../admission/index.js';
 import type { Operators } from '../../config/operators.js';
 import type { Settings } from '../../config/settings.js';
 import { pieceName, urgencyRank, type JobSpec } from '../../model/job.js';
@@ -65,6 +66,9 @@
   readonly doneOf = new Map<string, number>();
   private readonly chunkTasks: number;
 
+  /** What teams and classes have had of the room of late. */
+  readonly floors: Floors;
+
   constructor(
     readonly settings: Settings,
     readonly operators: Operators,
@@ -77,6 +81,10 @@
   ) {
     // A placed task takes up to some 40 bytes of its chunk's value.
     this.chunkTasks = Math.max(16, Math.min(512, Math.floor((settings.state.value_kb * 1024) / 64)));
+    this.floors = new Floors(
+      settings.workers.lease_s * 1000 * operators['floor-leases'],
+      operators['floor-share'],
+    );
     this.claims = new Claims(clock, settings.workers.lease_s);
     this.hazard = new HazardEstimate(operators['hazard-prior']);
     const wholeTasks = Math.max(1, Math.floor(this.chunkTasks * wholeShare));
--- a/src/core/committer.ts
+++ b/src/core/committer.ts
@@ -93,7 +93,7 @@
     this.attempts = new Attempts(retry, random);
     // Not knowing what the others need, each begins with more than an equal share.
     this.found = limits.nodes > 1 ? limits.writesPerS / 2 : limits.writesPerS * largestShare;
-    this.tokens = this.rate;
+    this.tokens = this.writesPerS;
   }
 
   add(intent: Intent): void {
@@ -102,6 +102,8 @@
 
   /** Submissions that may be handed over now: few, so that who goes next is decided as late as possible. */
   get userRoom(): number {
+    // Guards against a crowd that is handed over while a commit is under way: whoever comes meanwhile would wait behind it.
+    if (this.flight) return 0;
     return Math.max(0, Math.min(this.limits.ops, Math.floor(this.tokens)) - this.queues[Rank.user].length);
   }
 
@@ -111,6 +113,12 @@
     return this.others.rate(now) + waiting / 2;
   }
 
+  /** How long what waits to be written for accepted work will take, s. */
+  get behindS(): number {
+    const waiting = this.queues.reduce((n, q, rank) => (rank === Rank.user ? n : n + q.length), 0);
+    return waiting / Math.max(1, this.writesPerS);
+  }
+
   /** What this controller may write, a second, as the division among all has it. */
   allow(writesPerS: number): void {
     this.part = writesPerS;
@@ -124,8 +132,8 @@
     if (this.refilledAt < 0) this.refilledAt = now;
     // Guards against a part of less than one write a second, with which there would never be a whole one.
     this.tokens = Math.min(
-      Math.max(1, this.rate),
-      this.tokens + ((now - this.refilledAt) / 1000) * this.rate,
+      Math.max(1, this.writesPerS),
+      this.tokens + ((now - this.refilledAt) / 1000) * this.writesPerS,
     );
     this.refilledAt = now;
     if (this.flight) {
@@ -232,7 +240,7 @@
   }
 
   /** Writes per second that this controller allows itself now. */
-  private get rate(): number {
+  get writesPerS(): number {
     return this.part === null ? this.found : this.part * this.health;
   }
 
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -1,4 +1,4 @@
-import { alonePart, partsOf, type Wants } from '../admission/index.js';
+import { Meter, Pressure, type Demand } from '../admission/index.js';
 import type { Operators } from '../config/operators.js';
 import type { Settings } from '../config/settings.js';
 import { abilityOf, Leaving, Levels, type Phase } from '../levels/index.js';
@@ -13,6 +13,7 @@
 import { Fleet } from './fleet.js';
 import { Membership } from './membership.js';
 import { Neighbours } from './neighbours.js';
+import { Planning } from './planning.js';
 import { Replica } from './replica.js';
 import { Reports } from './reports.js';
 import { Upgrade } from './upgrade.js';
@@ -22,6 +23,9 @@
 const drainLeases = 0.3;
 const handLeases = 0.6;
 
+/** Effects that are requests to the state service. */
+const asksState: ReadonlySet<string> = new Set(['commit', 'epoch', 'catch-up', 'lease', 'renew', 'unlease']);
+
 /** So many machines are named in a log line at most. */
 const mostNamed = 8;
 
@@ -52,6 +56,12 @@
   private saidLevel = '';
   private toldAwayAt = -Infinity;
   private readonly fair: boolean;
+  private readonly planning: Planning;
+  private readonly pressure = new Pressure();
+  private readonly requests = new Meter(3000);
+  /** Shares that the process tells of: sockets, memory, room for what waits. */
+  private told = { sockets: 0, memory: 0, waiting: 0 };
+  private readonly mostSockets: number;
 
   constructor(
     private readonly settings: Settings,
@@ -126,6 +136,18 @@
     this.fleet = new Fleet(settings, operators, replica, committer, clock, retry.cloud, random, log);
     this.fleet.hazardPerStep = () => this.dispatcher.books.hazard.perStep(operators['hazard-step-s']);
     this.view = new View(replica, clock, ttlMs, this.dispatcher.books.freshLimitMs, log);
+    this.planning = new Planning(
+      settings,
+      replica,
+      committer,
+      this.view,
+      this.neighbours,
+      this.membership,
+      clock,
+      log,
+    );
+    this.mostSockets = limits.sockets.most;
+    if (this.fair) this.dispatcher.more = () => ({ admission: this.admissionSummary() });
     this.recovery = new Recovery(settings.workers.lease_s * 1000 * operators['recovery-leases']);
     this.reports = new Reports(
       settings,
@@ -179,6 +201,7 @@
     if (leading && !this.view.stale && !this.leaving.asked) {
       this.fleet.tick(out);
       this.upgrade.tick();
+      if (this.fair) this.planning.lead(this.demand);
     }
     if (this.leaving.asked) this.membership.leave(out);
     this.dispatcher.tick(out);
@@ -190,6 +213,7 @@
     this.tell(out, null);
     this.read(leading, out);
     this.follow();
+    if (this.fair) this.requests.add(out.filter((e) => asksState.has(e.e)).length, now);
     return out;
   }
 
@@ -235,27 +259,57 @@
     const { front } = this.reports;
     const news = front !== this.wasFront ? this.replica.epoch : epoch;
     this.wasFront = front;
-    this.neighbours.tell(out, this.reports.busy, front, () => this.wants, news);
+    this.neighbours.tell(out, this.reports.busy, front, () => this.demand, news);
   }
 
-  private get wants(): Wants {
+  /** What this controller wants, as it tells the others. */
+  private get demand(): Demand {
     const { now } = this.clock;
-    return { tasks: Math.round(this.committer.tasksWanted(now)), users: Math.round(this.desk.usersWanted()) };
+    return {
+      tasks: Math.round(this.committer.tasksWanted(now)),
+      users: Math.round(this.desk.usersWanted()),
+      behindS: this.committer.behindS,
+      kinds: this.fair ? this.desk.kindsWanted() : [],
+      follows: this.planning.follows,
+    };
   }
 
   /** This controller's part of the writes, and those that it takes in with it. */
   private divide(out: Effect[]): void {
-    const writes = this.settings.state.write_rps;
-    const others = this.neighbours.wants();
-    const n = 1 + others.length;
-    const alone = alonePart(writes, n);
-    const heard = others.map((w) => w ?? { tasks: alone.total, users: 0 });
-    const parts = partsOf(writes, [this.wants, ...heard]);
-    this.committer.allow(parts[0].total);
+    this.planning.follow();
+    const share = this.planning.share(this.demand);
+    this.committer.allow(share.total);
     // The state service may take less than it is said to.
     const { health } = this.committer;
-    const all = parts.reduce((sum, p) => sum + p.users, 0);
-    this.desk.admit(parts[0].users * health, all * health, out);
+    const { factor } = this.pressure.picture;
+    this.desk.admit(share, factor * health, out);
+  }
+
+  /** Looks at all that is scarce here; as often as the process tells of itself. */
+  private look(): void {
+    const { now } = this.clock;
+    const { tasks, users } = this.demand;
+    const { rps } = this.settings.state;
+    const equal = rps / (1 + this.settings.peers.length);
+    const picture = this.pressure.look({
+      writes: (tasks + users) / Math.max(1, this.committer.writesPerS),
+      requests: this.requests.rate(now) / equal,
+      time: this.reports.busy,
+      ...this.told,
+    });
+    this.desk.short = picture.factor < 1 ? picture.tightest : 'writes';
+  }
+
+  private admissionSummary(): object {
+    const round = (x: number): number => Math.round(100 * x) / 100;
+    const { load, tightest, factor } = this.pressure.picture;
+    return {
+      plan: this.planning.follows,
+      pressure: Object.fromEntries(Object.entries(load).map(([k, x]) => [k, round(x as number)])),
+      tightest,
+      factor: round(factor),
+      away: this.awayTotal,
+    };
   }
 
   private settle(): void {
@@ -273,6 +327,7 @@
     const { now } = this.clock;
     if (now - this.checkedAt < this.membership.ttlMs / 16) return;
     this.checkedAt = now;
+    if (this.fair) this.look();
     this.tellAway();
     const { dispatcher, recovery } = this;
     const { unproven } = dispatcher;
@@ -295,6 +350,9 @@
     if (r) this.log(r.late ? 'warn' : 'info', r.late ? 'recovered late' : 'recovered', { ...r });
   }
 
+  /** Since the start, by team, class and reason. Bounded: who is turned away least is left out. */
+  private readonly awayTotal: Record<string, number> = {};
+
   /** For operators: who was turned away since this was last told, most first. */
   private tellAway(): void {
     const { now } = this.clock;
@@ -303,10 +361,18 @@
     this.toldAwayAt = now;
     const most = [...away].sort((a, b) => b[1] - a[1]);
     const total = most.reduce((sum, [, n]) => sum + n, 0);
+    const by = most.slice(0, mostNamed);
+    for (const [kind, n] of by)
+      if (kind in this.awayTotal || Object.keys(this.awayTotal).length < mostNamed * 4)
+        this.awayTotal[kind] = (this.awayTotal[kind] ?? 0) + n;
+    const { tasks, users, behindS } = this.demand;
     this.log('info', 'turned away', {
       total,
-      by: Object.fromEntries(most.slice(0, mostNamed)),
-      ...this.wants,
+      by: Object.fromEntries(by),
+      tasks,
+      users,
+      behindS: Math.round(behindS * 10) / 10,
+      plan: this.planning.follows,
     });
     away.clear();
   }
@@ -332,6 +398,11 @@
         break;
       case 'load':
         this.reports.measured(c.busy, c.connections);
+        this.told = {
+          sockets: c.connections / this.mostSockets,
+          memory: c.memory ?? 0,
+          waiting: c.waiting ?? 0,
+        };
         break;
       case 'peer-lost': {
         // Most likely its process ended. Its lease is ended now rather than waited for; if it lives after all,
--- a/src/core/desk.ts
+++ b/src/core/desk.ts
@@ -1,4 +1,15 @@
-import { Admission, Bucket, Meter, type Away, type Entry, type Turned } from '../admission/index.js';
+import {
+  Admission,
+  Bucket,
+  kindName,
+  Meter,
+  teamWeights,
+  Wishes,
+  type Away,
+  type Entry,
+  type KindWant,
+  type Turned,
+} from '../admission/index.js';
 import type { Settings } from '../config/settings.js';
 import { admissible } from '../policy/admission.js';
 import { urgencyRank, type JobSpec } from '../model/job.js';
@@ -7,6 +18,7 @@
 import { Rank, type Committer } from './committer.js';
 import type { Clock, Effect } from './effects.js';
 import { chunkKey, jobKey } from './keys.js';
+import type { Share } from './planning.js';
 import { chunkData, jobCancelledData, jobData, wholeCancelledData, type JobRecord } from './records.js';
 import type { Replica } from './replica.js';
 import type { Condition, Write } from '../wire/store.js';
@@ -34,6 +46,10 @@
 const tryMs = 60_000;
 const longestRetryMs = 30_000;
 
+/** For so long after somebody had to wait it is told which teams and classes bring how much, ms. */
+const crowdMs = 10_000;
+const byUrgency = (spec: JobSpec): number => 2 ** urgencyRank[spec.urgency];
+
 /** Answers that the users' time limits (2 s for a poll, 5 s for the others) leave no room to wait longer for. */
 const giveUpMs = 1500;
 const giveUpWriteMs = 4000;
@@ -51,10 +67,16 @@
   private readonly submits = new Map<string, { rids: number[]; since: number }>();
   private readonly admission: Admission<Newcomer>;
   private readonly arrivals = new Meter();
-  private readonly bucket = new Bucket();
+  /** Guards against waits of users who come in a bunch, as they do, beside a part that is right on the average. */
+  private readonly bucket = new Bucket(patienceMs / 1000);
   private turned: Turned[] = [];
-  /** Who was turned away, by team and class. */
+  /** Who was turned away, by team, class and reason. */
   readonly away = new Map<string, number>();
+  private readonly wishes: Wishes;
+  private crowdedAt = -Infinity;
+  /** In which proportion team and class take turns, as the plan has it; empty: by guarantee and urgency. */
+  private kinds: ReadonlyMap<string, number> = new Map();
+  private bestRate = 1;
   private readonly withdrawals = new Map<string, { rids: number[]; since: number }>();
 
   constructor(
@@ -68,15 +90,12 @@
     private readonly fair: boolean,
     random: Random,
   ) {
-    const guaranteed = settings.teams.reduce((sum, t) => sum + t.cpus, 0);
-    const weightOf = (team: string): number => {
-      const cpus = settings.teams.find((t) => t.name === team)?.cpus ?? 0;
-      return 1 + (guaranteed > 0 ? cpus / guaranteed : 0);
-    };
+    const weightOf = teamWeights(settings.teams);
+    this.wishes = new Wishes(mostWaiting / 8, tryMs);
     this.admission = new Admission(
       { most: mostWaiting, patienceMs, tryMs, longestMs: longestRetryMs, tickets: mostWaiting },
-      weightOf,
-      (e) => 2 ** urgencyRank[e.spec.urgency],
+      (team) => (this.kinds.size > 0 ? this.rateOf(kindName(team, '')) : weightOf(team)),
+      (e) => (this.kinds.size > 0 ? this.rateOf(kindName(e.team, e.class)) : byUrgency(e.spec)),
       random,
     );
   }
@@ -113,6 +132,7 @@
       return this.commitNew(e);
     }
     this.arrivals.add(1, now);
+    this.wishes.add(e.team, e.class, byUrgency(spec), now);
     this.newcomers.set(e.id, e);
     const away = this.admission.offer(e, now);
     if (away) this.turnAway(away, out);
@@ -123,6 +143,13 @@
     return this.arrivals.rate(this.clock.now) + this.admission.size;
   }
 
+  /** By team and class, while somebody has to wait. */
+  kindsWanted(): KindWant[] {
+    const { now } = this.clock;
+    if (this.admission.size > 0) this.crowdedAt = now;
+    return now - this.crowdedAt < crowdMs ? this.wishes.list(now) : [];
+  }
+
   /** Jobs that other controllers have turned away: here they are not the last either. */
   told(list: readonly Turned[]): void {
     this.admission.told(
@@ -138,7 +165,8 @@
 
   private turnAway({ entry, retryAfterS }: Away<Newcomer>, out: Effect[]): void {
     this.newcomers.delete(entry.id);
-    const kind = `${entry.team} ${entry.class}`;
+    this.crowdedAt = this.clock.now;
+    const kind = `${kindName(entry.team, entry.class)}: ${this.short}`;
     this.away.set(kind, (this.away.get(kind) ?? 0) + 1);
     const { id, team, class: cls, firstAt } = entry;
     this.turned.push({ id, team, class: cls, ageMs: Math.round(this.clock.now - firstAt) });
@@ -152,12 +180,19 @@
       });
   }
 
-  /** Takes in as many as may be written now, by this controller and by all together, a second. */
-  admit(rate: number, whole: number, out: Effect[]): void {
+  /** What runs short, and is why jobs are turned away. */
+  short = 'writes';
+
+  /** Takes in as many as may be written now. `factor`: of them, so many where something else runs short. */
+  admit(share: Share, factor: number, out: Effect[]): void {
     const { now } = this.clock;
-    this.admission.rate = rate;
-    this.admission.wholeRate = whole;
-    let room = Math.min(this.bucket.fill(rate, now), this.committer.userRoom);
+    this.admission.rate = share.users * factor;
+    this.admission.wholeRate = share.wholeUsers * factor;
+    if (share.kinds !== this.kinds) {
+      this.kinds = share.kinds;
+      this.bestRate = Math.max(0.01, ...share.kinds.values());
+    }
+    let room = Math.min(this.bucket.fill(this.admission.rate, now), this.committer.userRoom);
     for (; room > 0; room--) {
       const e = this.admission.next();
       if (!e) break;
@@ -165,12 +200,21 @@
       this.newcomers.delete(e.id);
       this.commitNew(e);
     }
-    for (const away of this.admission.overdue(now, giveUpWriteMs, (e) => e.since)) this.turnAway(away, out);
+    // They are in the order in which they came.
+    for (const e of this.newcomers.values()) {
+      if (now - e.since <= giveUpWriteMs) break;
+      this.turnAway(this.admission.overdue(e, now), out);
+    }
     if (this.turned.length === 0) return;
     out.push({ e: 'turned', list: this.turned });
     this.turned = [];
   }
 
+  /** What the plan says of a team or class; of one that it does not name little was seen, so it is as good as any. */
+  private rateOf(kind: string): number {
+    return this.kinds.get(kind) ?? this.bestRate;
+  }
+
   private commitNew({ spec, rids }: Newcomer): void {
     const mine = { rids, since: this.clock.now };
     this.submits.set(spec.id, mine);
--- a/src/core/dispatcher.ts
+++ b/src/core/dispatcher.ts
@@ -40,6 +40,9 @@
   /** Jobs may be stored otherwise than the level in force has it. */
   private astray = true;
 
+  /** What others add to the summary. */
+  more: () => object = () => ({});
+
   constructor(
     private readonly settings: Settings,
     private readonly operators: Operators,
@@ -174,6 +177,6 @@
     const { now } = this.clock;
     if (now - this.summedAt < this.settings.workers.lease_s * 500) return;
     this.summedAt = now;
-    summarize(this.books, this.looked);
+    summarize(this.books, this.looked, this.more());
   }
 }
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -1,4 +1,4 @@
-import type { Turned, Wants } from '../admission/index.js';
+import type { Demand, Turned } from '../admission/index.js';
 import type { JobSpec } from '../model/job.js';
 import type { MachineType } from '../model/machine.js';
 import type { Order, Report } from '../model/report.js';
@@ -17,7 +17,7 @@
   /** Its workers may stay at whoever they reach: their reports are to be relayed. */
   front: boolean;
   /** What it wants of the state service's writes, a second; null: it is of a program that does not say. */
-  wants: Wants | null;
+  wants: Demand | null;
 }
 
 /** What the adapters bring to the core. `rid` names a request that waits for its answer. */
@@ -34,8 +34,8 @@
   /** What a peer wants to know, and what another has answered us. */
   | { c: 'asked'; from: string; question: Question }
   | { c: 'vouched'; from: string; run: string; question: Question; known: Change[] }
-  /** What the process has been doing lately: share of its time, connections that are open. */
-  | { c: 'load'; busy: number; connections: number }
+  /** What the process has been doing lately: share of its time, connections that are open, shares of memory and waiting room. */
+  | { c: 'load'; busy: number; connections: number; memory?: number; waiting?: number }
   /** A peer's connection broke and a new one was refused at once. */
   | { c: 'peer-lost'; member: string }
   | { c: 'ordered'; host: string; report: Report | null }
--- a/src/core/keys.ts
+++ b/src/core/keys.ts
@@ -10,6 +10,8 @@
 export const levelKey = 'dp/level';
 export const membersKey = 'dp/members';
 export const wishKey = 'dp/wish';
+/** Who may write how much, from level 3 on. */
+export const planKey = 'dp/plan';
 export const nodeKey = (member: string): string => `dp/node/${member}`;
 export const shardKey = (shard: number): string => `dp/shard/${shard}`;
 /** The machines of one rental. */
@@ -18,7 +20,7 @@
 export const jobKey = (id: string): string => `dp/j/${id}`;
 export const chunkKey = (id: string, chunk: number): string => `dp/t/${id}/${chunk}`;
 
-const singles = ['lead', 'types', 'teams', 'chief', 'kinds', 'level', 'members', 'wish'] as const;
+const singles = ['lead', 'types', 'teams', 'chief', 'kinds', 'level', 'members', 'wish', 'plan'] as const;
 type Single = (typeof singles)[number];
 
 export type KeyRef =
--- a/src/core/neighbours.ts
+++ b/src/core/neighbours.ts
@@ -1,4 +1,4 @@
-import type { Wants } from '../admission/index.js';
+import type { Demand } from '../admission/index.js';
 import type { Settings } from '../config/settings.js';
 import type { Operators } from '../config/operators.js';
 import { admits } from '../levels/index.js';
@@ -12,6 +12,8 @@
 /** Pulses, at least so many in a state lease. */
 const pulsesPerLease = 4;
 const mostRecent = 512;
+/** Who does not reach the state service for this share of its state lease, or has asked it, knows that its presence is gone. */
+const knowsGone = 0.5;
 
 interface Other {
   pulse: Pulse;
@@ -22,6 +24,8 @@
 export class Neighbours {
   private readonly others = new Map<string, Other>();
   private readonly recent = new Recent(mostRecent);
+  /** When each was last seen to be present, ms. */
+  private readonly hereAt = new Map<string, number>();
   private readonly vouching: Vouching;
   private readonly members: readonly string[];
   private pulsedAt = -Infinity;
@@ -78,7 +82,7 @@
   }
 
   /** Tells the others of us, at once when there is news and from time to time without. */
-  tell(out: Effect[], busy: number, front: boolean, wants: () => Wants, news: number | null): void {
+  tell(out: Effect[], busy: number, front: boolean, wants: () => Demand, news: number | null): void {
     const { now } = this.clock;
     if (news === null && now - this.pulsedAt < this.ttlMs / pulsesPerLease) return;
     this.pulsedAt = now;
@@ -89,16 +93,18 @@
     });
   }
 
-  /**
-   * What each of the other controllers wants of the writes; null: it is here, but is not heard. One whose presence is gone
-   * writes nothing.
-   */
-  wants(): (Wants | null)[] {
-    return this.members.map((m) => {
-      const o = this.others.get(m);
-      if (this.replica.epoch >= 0 && !this.replica.nodes.has(m)) return { tasks: 0, users: 0 };
-      return o && this.isFresh(o) ? (o.pulse.wants ?? null) : null;
-    });
+  /** What the other controllers want of the writes; null: not heard. One whose presence is gone writes nothing. */
+  demands(): Map<string, { here: boolean; fallen: boolean; demand: Demand | null }> {
+    const { now } = this.clock;
+    return new Map(
+      this.members.map((m) => {
+        const o = this.others.get(m);
+        const here = this.replica.epoch < 0 || this.replica.nodes.has(m);
+        if (here) this.hereAt.set(m, now);
+        const fallen = now - (this.hereAt.get(m) ?? -Infinity) > this.ttlMs * knowsGone;
+        return [m, { here, fallen, demand: here && o && this.isFresh(o) ? o.pulse.wants : null }];
+      }),
+    );
   }
 
   // ---- vouching ----
--- /dev/null
+++ b/src/core/planning.ts
@@ -0,0 +1,158 @@
+import {
+  alonePart,
+  differs,
+  nextPlan,
+  partsOf,
+  teamWeights,
+  withoutPlan,
+  type Demand,
+  type Parts,
+  type Plan,
+} from '../admission/index.js';
+import type { Settings } from '../config/settings.js';
+import { Rank, type Committer } from './committer.js';
+import type { Clock, Log } from './effects.js';
+import { planKey } from './keys.js';
+import type { Membership } from './membership.js';
+import type { Neighbours } from './neighbours.js';
+import { planData } from './records.js';
+import type { Replica } from './replica.js';
+import type { View } from './view.js';
+
+/** Looks, and plans at most, in a state lease. */
+const looksPerLease = 4;
+const plansPerLease = 2;
+/** Whoever does not follow the last plan after so many state leases has fallen back to its floor. */
+const settledLeases = 1.25;
+
+/** What this controller may write, and what all may take in together, a second. */
+export interface Share extends Parts {
+  wholeUsers: number;
+  /** In which proportion team and class take turns; none: by guarantee and urgency. */
+  kinds: ReadonlyMap<string, number>;
+}
+
+const noKinds: ReadonlyMap<string, number> = new Map();
+
+/**
+ * The plan of who may write how much. The leader works it out from what all report and stores it; every controller applies its
+ * part of the newest that it knows. One whose view is older than its state lease falls back to its floor: so a plan that is
+ * older than that is followed by nobody, and no clock but its own says so to each.
+ */
+export class Planning {
+  private lookedAt = -Infinity;
+  private busy = false;
+  private wroteAt = -Infinity;
+  /** Since when the plan in force is known here, ms. */
+  private known = { number: -1, at: -Infinity };
+  private readonly weightOf: (team: string) => number;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly replica: Replica,
+    private readonly committer: Committer,
+    private readonly view: View,
+    private readonly neighbours: Neighbours,
+    private readonly membership: Membership,
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {
+    this.weightOf = teamWeights(settings.teams);
+  }
+
+  private get inForce(): boolean {
+    return this.replica.levels.has('admission-plan');
+  }
+
+  /** The plan that this controller follows, or would if its view were new. */
+  get follows(): number {
+    return this.inForce ? (this.replica.plan?.number ?? 0) : 0;
+  }
+
+  private get members(): string[] {
+    return [this.settings.member, ...this.settings.peers.map((p) => p.member)];
+  }
+
+  /** Looks at what is there; in each step, so that whoever comes to lead knows how old the plan is. */
+  follow(): void {
+    const number = this.replica.plan?.number ?? 0;
+    if (number !== this.known.number) this.known = { number, at: this.clock.now };
+    this.neighbours.demands();
+  }
+
+  /** This controller's share. Without a plan that is in force all work it out from the same pulses; knowing nothing, it is equal. */
+  share(mine: Demand): Share {
+    const writes = this.settings.state.write_rps;
+    const { members } = this;
+    const n = members.length;
+    if (!this.inForce) {
+      const alone = alonePart(writes, n);
+      const heard = [...this.neighbours.demands().values()].map(
+        (m) => m.demand ?? { tasks: m.here ? alone.total : 0, users: 0, behindS: 0 },
+      );
+      const parts = partsOf(writes, [mine, ...heard]);
+      return { ...parts[0], wholeUsers: parts.reduce((sum, p) => sum + p.users, 0), kinds: noKinds };
+    }
+    const { plan } = this.replica;
+    const part = plan?.parts.get(this.settings.member);
+    const fresh = !this.view.stale && this.membership.present;
+    if (plan && part && fresh)
+      return { ...part, wholeUsers: [...plan.parts.values()].reduce((sum, p) => sum + p.users, 0) };
+    // Guards against following a plan that was replaced while nothing was heard of it, or one that counts this controller as
+    // gone, or that cannot be read.
+    const fallen = !fresh || plan !== null || this.replica.sealed.has(planKey);
+    const parts = withoutPlan(writes, n, fallen);
+    return { ...parts, wholeUsers: parts.users * n, kinds: noKinds };
+  }
+
+  /** As the leader: the next plan, if it is worth a write. */
+  lead(mine: Demand): void {
+    const { now } = this.clock;
+    const { plan } = this.replica;
+    const { ttlMs } = this.membership;
+    if (!this.inForce || this.busy || now - this.lookedAt < ttlMs / looksPerLease) return;
+    this.lookedAt = now;
+    if (now - this.wroteAt < ttlMs / plansPerLease || this.replica.sealed.has(planKey)) return;
+    const next = (): Plan => this.next(mine);
+    if (!differs(plan, next(), this.settings.state.write_rps)) return;
+    this.busy = true;
+    this.wroteAt = now;
+    const done = (): void => void (this.busy = false);
+    this.committer.add({
+      rank: Rank.membership,
+      build: () => {
+        const { lead } = this.replica;
+        // Guards against a leader of before, which knows neither who follows what nor the newest plan.
+        if (!lead || !this.membership.leading || !this.inForce) {
+          done();
+          return null;
+        }
+        return {
+          when: [
+            { key: planKey, stamp: this.replica.stamp(planKey) },
+            { key: this.replica.leadKey, stamp: lead.stamp },
+          ],
+          apply: [{ key: planKey, data: planData(next(), this.settings.state.value_kb) }],
+        };
+      },
+      ok: () => {
+        done();
+        const p = this.replica.plan;
+        if (p) this.log('debug', 'plan', { number: p.number, ...planData(p, this.settings.state.value_kb) });
+      },
+      conflict: done,
+    });
+  }
+
+  private next(mine: Demand): Plan {
+    const { plan } = this.replica;
+    const others = this.neighbours.demands();
+    const members = this.members.map((name) =>
+      name === this.settings.member
+        ? { name, here: true, fallen: false, demand: { ...mine, follows: this.follows } }
+        : { name, ...others.get(name)! },
+    );
+    const settled = this.clock.now - this.known.at > settledLeases * this.membership.ttlMs;
+    return nextPlan(plan, this.settings.state.write_rps, members, settled, this.weightOf);
+  }
+}
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -1,3 +1,4 @@
+import type { Plan } from '../admission/index.js';
 import type { Data } from '../formats/index.js';
 import { unaware, type Ability, type Wish } from '../levels/index.js';
 import type { JobSpec, JobState } from '../model/job.js';
@@ -254,6 +255,45 @@
   return { most: d.most ?? null, lower: d.lower ?? false, gone: d.gone ?? [], stamp };
 }
 
+/** How much of what a value may hold a plan takes; kinds that do not fit are left out, smallest first. */
+const planShare = 0.5;
+
+export function planData({ number, parts }: Plan, valueKb: number): Data {
+  const named = [...parts].flatMap(([member, p]) =>
+    [...p.kinds].map(([kind, rate]) => ({ member, kind, rate })),
+  );
+  named.sort((a, b) => b.rate - a.rate);
+  const of = (list: typeof named): Data => ({
+    n: number,
+    p: Object.fromEntries(
+      [...parts].map(([member, p]) => [
+        member,
+        [
+          p.total,
+          p.users,
+          p.most,
+          Object.fromEntries(list.filter((x) => x.member === member).map((x) => [x.kind, x.rate])),
+        ],
+      ]),
+    ),
+  });
+  let data = of(named);
+  while (named.length > 0 && Buffer.byteLength(JSON.stringify(data)) > valueKb * 1024 * planShare) {
+    named.length = Math.floor(named.length / 2);
+    data = of(named);
+  }
+  return data;
+}
+
+export function readPlan(data: unknown): Plan {
+  const d = data as { n: number; p: Record<string, [number, number, number, Record<string, number>]> };
+  const parts = Object.entries(d.p).map(
+    ([member, [total, users, most, kinds]]) =>
+      [member, { total, users, most, kinds: new Map(Object.entries(kinds)) }] as const,
+  );
+  return { number: d.n, parts: new Map(parts) };
+}
+
 /** Which teams are at home in which shard. */
 export const teamsData = (shards: string[][]): Data => ({ shards });
 export const readTeams = (data: unknown): string[][] => (data as { shards: string[][] }).shards;
--- a/src/core/replica.ts
+++ b/src/core/replica.ts
@@ -1,4 +1,5 @@
 import { inspect, type Data, type Kind } from '../formats/index.js';
+import type { Plan } from '../admission/index.js';
 import { firstLevel, noWish, type Ability, type Levels, type Wish } from '../levels/index.js';
 import type { MachineRecord, MachineType } from '../model/machine.js';
 import type { Change } from '../wire/store.js';
@@ -22,6 +23,7 @@
   readMachine,
   readMembers,
   readNode,
+  readPlan,
   readTeams,
   readTypes,
   readWish,
@@ -58,7 +60,16 @@
   ref.kind === 'chief' ? 'lead' : ref.kind === 'kinds' ? 'types' : ref.kind;
 
 /** Without these nobody could join, lead or be told the level: damaged ones are written anew. */
-const renewed: ReadonlySet<string> = new Set(['node', 'lead', 'chief', 'types', 'kinds', 'members', 'wish']);
+const renewed: ReadonlySet<string> = new Set([
+  'node',
+  'lead',
+  'chief',
+  'types',
+  'kinds',
+  'members',
+  'wish',
+  'plan',
+]);
 
 /**
  * This node's copy of everything under our prefix, fed by the watch and by our own commits. `epoch` is the
@@ -74,6 +85,8 @@
   /** What members were last seen with, and the leader's answer to the operators. */
   members: { seen: Map<string, Ability>; note: LevelNote | null } = { seen: new Map(), note: null };
   wish: Wish = noWish;
+  /** Who may write how much; null: there is no plan. */
+  plan: Plan | null = null;
   teams: string[][] = [];
   teamsStamp = 0;
   readonly nodes = new Map<string, NodeRecord>();
@@ -232,6 +245,9 @@
       case 'wish':
         this.wish = here ? readWish(data, stamp) : noWish;
         break;
+      case 'plan':
+        this.plan = here ? readPlan(data) : null;
+        break;
       case 'teams':
         this.teams = here ? readTeams(data) : [];
         this.teamsStamp = here ? stamp : 0;
--- a/src/core/round/fit.ts
+++ b/src/core/round/fit.ts
@@ -1,8 +1,8 @@
 import { isPremium, urgencyRank, type JobSpec } from '../../model/job.js';
-import type { MachineType } from '../../model/machine.js';
+import type { Fits, MachineType } from '../../model/machine.js';
 import { typeAllowed } from '../../policy/admission.js';
 import { isLimitless, limitsOf, slackS } from '../../policy/deadlines.js';
-import { gpuMachineOpen } from '../../policy/gpus.js';
+import { gpuMachineOpen, keptRoom } from '../../policy/gpus.js';
 import { score } from '../../policy/helios.js';
 import { anchorPrice, candidate, fetchS, weights } from '../../policy/pricing.js';
 import type { Match } from '../../policy/matching.js';
@@ -36,6 +36,10 @@
   return slack < reach || (!isLimitless(limits) && !Number.isFinite(slack));
 }
 
+/** What a job may take of a machine's room: not what GPU work needs, unless it may crowd or its floor is owed to it. */
+export const openRoom = (round: ShardRound, job: JobRun, room: Fits, crowd: boolean): Fits =>
+  round.lifted.has(job) ? room : keptRoom(job.spec, room, round.keep, crowd);
+
 /** Whether a gang may have a machine of this type emptied for it. */
 export const mayEmpty = (round: ShardRound, job: JobRun, type: MachineType): boolean =>
   type.gpus <= 0 || job.spec.gpus > 0 || round.keep === null || mayCrowd(round, job);
@@ -44,8 +48,8 @@
  * Whether a machine may take a job's tasks, as far as its place, the job's past there and what waits with more urgency
  * decide.
  */
-export const openTo = (books: Books, job: JobRun, m: MachineRun): boolean =>
-  (books.withheld.get(m.host) ?? 0) <= urgencyRank[job.spec.urgency] &&
+export const openTo = (books: Books, job: JobRun, m: MachineRun, floor = false): boolean =>
+  (floor || (books.withheld.get(m.host) ?? 0) <= urgencyRank[job.spec.urgency]) &&
   (job.anywhere || !job.errors.has(m.host)) &&
   (job.spec.zone === null || job.spec.zone === m.zone) &&
   (job.match === null || job.match.allows(m.host)) &&
@@ -68,11 +72,16 @@
 /** Machines of the job's shard that may take its tasks and have room for any waiting task, best first. */
 export function eligible(
   job: JobRun,
-  { books, openings }: ShardRound,
+  { books, openings, lifted }: ShardRound,
   withImage = false,
 ): Generator<MachineRun> {
   const score = kindScore(books, job.spec);
-  const all = openings.best(job.spec, score, (m) => usable(books, m) && openTo(books, job, m), withImage);
+  const all = openings.best(
+    job.spec,
+    score,
+    (m) => usable(books, m) && openTo(books, job, m, lifted.has(job)),
+    withImage,
+  );
   return job.match?.ranks ? byRank(job, job.match, score, all) : all;
 }
 
--- a/src/core/round/gangs.ts
+++ b/src/core/round/gangs.ts
@@ -2,7 +2,6 @@
 import { timesFits } from '../../model/machine.js';
 import { typeAllowed } from '../../policy/admission.js';
 import { limitsOf, slackS } from '../../policy/deadlines.js';
-import { keptRoom } from '../../policy/gpus.js';
 import { spotAllowed, zoneOpen } from '../../policy/guardrails.js';
 import { pressingS } from '../../policy/order.js';
 import { suspect } from '../blame.js';
@@ -10,7 +9,7 @@
 import { nextGangAttempt, nextWaiting, waitingCount } from '../books/jobs.js';
 import { roomOf } from '../books/machines.js';
 import type { JobRun, MachineRun } from '../books/runs.js';
-import { candidates, mayCrowd, mayEmpty, openTo } from './fit.js';
+import { candidates, mayCrowd, openRoom, mayEmpty, openTo } from './fit.js';
 import { claim, type ShardRound } from './shard.js';
 
 /** False: the gang waits for something else than room. */
@@ -31,7 +30,7 @@
   const crowd = mayCrowd(round, job);
   for (const m of candidates(job, round)) {
     const zone = spec.oneZone ? m.zone : null;
-    const room = timesFits(spec, keptRoom(spec, roomOf(books, m), round.keep, crowd));
+    const room = timesFits(spec, openRoom(round, job, roomOf(books, m), crowd));
     if (room === 0) continue;
     total += room;
     most.set(m.zone, (most.get(m.zone) ?? 0) + room);
--- a/src/core/round/round.ts
+++ b/src/core/round/round.ts
@@ -7,6 +7,7 @@
 import type { Books } from '../books/books.js';
 import { waitingCount } from '../books/jobs.js';
 import type { JobRun } from '../books/runs.js';
+import { lifted } from './floors.js';
 import { gangMayWait, owe, placeGang, reserve } from './gangs.js';
 import { madeRoom, preempt } from './preemption.js';
 import { openShard, type Round, type ShardRound } from './shard.js';
@@ -40,7 +41,8 @@
     least.cpus = Math.min(least.cpus, spec.cpus);
     least.memGb = Math.min(least.memGb, spec.memGb);
   }
-  const whole: Round = { books, entitled, keep, least };
+  const raised = lifted(books, waiting);
+  const whole: Round = { books, entitled, lifted: raised, keep, least };
   const shards = new Map<number, ShardRound>();
   const roundOf = (shard: number): ShardRound => {
     let round = shards.get(shard);
@@ -53,6 +55,20 @@
   // Work of one level is of like urgency, and either all within its teams' guarantees or none.
   const levelOf = (job: JobRun): number => urgencyRank[job.spec.urgency] + (demandsNow(whole, job) ? 10 : 0);
   let level = Infinity;
+  for (const job of raised.keys()) {
+    if (!placeable(books, job) || books.jobs.get(job.id) !== job) continue;
+    const round = roundOf(job.shard);
+    const before = job.active.size;
+    if (job.spec.shape === 'gang') {
+      if (!placeGang(job, round) && gangMayWait(books, job)) reserve(job, round);
+    } else placeEach(job, round);
+    if (job.active.size > before)
+      books.log('info', 'floor', { job: job.id, class: job.spec.class, tasks: job.active.size - before });
+    yield round.openings.looked;
+    round.openings.looked = 0;
+  }
+  whole.lifted = new Map();
+  for (const round of shards.values()) round.lifted = whole.lifted;
   for (const job of waiting) {
     if (levelOf(job) < level) {
       level = levelOf(job);
--- a/src/core/round/shard.ts
+++ b/src/core/round/shard.ts
@@ -11,6 +11,8 @@
   books: Books;
   /** Jobs within their team's guarantee. */
   entitled: ReadonlySet<JobRun>;
+  /** Jobs whose team and class had less than their floor: what is kept for others is open to them. */
+  lifted: ReadonlyMap<JobRun, number>;
   /** What waiting GPU work needs beside each GPU. */
   keep: GpuShare | null;
   /** The least that any waiting task takes. */
--- a/src/core/round/singles.ts
+++ b/src/core/round/singles.ts
@@ -1,11 +1,10 @@
 import { timesFits } from '../../model/machine.js';
-import { keptRoom } from '../../policy/gpus.js';
 import { zoneOpen } from '../../policy/guardrails.js';
 import { suspect } from '../blame.js';
 import { nextWaiting, waitingCount } from '../books/jobs.js';
 import { roomOf } from '../books/machines.js';
 import type { JobRun } from '../books/runs.js';
-import { candidates, eligible, mayCrowd } from './fit.js';
+import { candidates, eligible, mayCrowd, openRoom } from './fit.js';
 import type { ShardRound } from './shard.js';
 
 export function placeEach(job: JobRun, round: ShardRound, withImage = false): void {
@@ -13,6 +12,7 @@
   const { books, openings } = round;
   let left = Math.min(waitingCount(job), timesFits(spec, books.teamRoom(spec)));
   // A job that only ever failed is tried one task at a time.
+  left = Math.min(left, round.lifted.get(job) ?? Infinity);
   if (suspect(job)) left = Math.min(left, job.active.size === 0 ? 1 : 0);
   if (left <= 0) return;
   const at: { index: number; host: string }[] = [];
@@ -20,7 +20,7 @@
   const crowd = mayCrowd(round, job);
   const machines = withImage ? eligible(job, round, true) : candidates(job, round);
   for (const m of machines) {
-    let n = Math.min(left - at.length, timesFits(spec, keptRoom(spec, roomOf(books, m), round.keep, crowd)));
+    let n = Math.min(left - at.length, timesFits(spec, openRoom(round, job, roomOf(books, m), crowd)));
     for (; n > 0 && zoneOpen(spec, m.zone, taken); n--) {
       const index = nextWaiting(job);
       if (index < 0) break;
--- a/src/core/summary.ts
+++ b/src/core/summary.ts
@@ -24,8 +24,8 @@
   gpus: number;
 }
 
-/** For operators: how the fleet is used and what waits. `looked`: machines that placement has looked at. */
-export function summarize(books: Books, looked: number): void {
+/** For operators: how the fleet is used and what waits. `looked`: machines that placement has looked at; `more`: of others. */
+export function summarize(books: Books, looked: number, more: object): void {
   const fleet: Record<string, { up: number; coming: number; idle: number; cpus: number; gpus: number }> = {};
   for (const m of books.machines.values()) {
     const f = (fleet[`${m.type.name}${m.spot ? ' spot' : ''}`] ??= {
@@ -85,7 +85,7 @@
       else c.fetching++;
     }
   }
-  books.log('info', 'summary', { fleet, jobs, teams, looked });
+  books.log('info', 'summary', { fleet, jobs, teams, looked, ...more });
 }
 
 /** What a job's waiting tasks wait for, in an operator's words. */
--- a/src/core/upgrade.ts
+++ b/src/core/upgrade.ts
@@ -75,7 +75,8 @@
       seen: replica.members.seen,
       witnessed: replica.witnessed,
       wish: replica.wish,
-      newer: replica.whole.size,
+      // Below level 2 nobody can read small jobs that keep their tasks' state; from there on all can.
+      newer: replica.levels.state.write < 2 ? replica.whole.size : 0,
       stuck: [...replica.sealed.keys(), ...replica.withExtras],
     });
   }
--- a/src/formats/kinds.ts
+++ b/src/formats/kinds.ts
@@ -11,7 +11,8 @@
   | 'chunk'
   | 'level'
   | 'members'
-  | 'wish';
+  | 'wish'
+  | 'plan';
 
 export type Data = Record<string, unknown>;
 
--- a/src/formats/seldom.ts
+++ b/src/formats/seldom.ts
@@ -50,6 +50,13 @@
     note: v.optional(v.object({ wish: count, text })),
   }),
 ];
+/** By member: its part of the writes, that of users, the most it may be using, and how team and class take turns there. */
+export const plan = [
+  format({
+    n: level,
+    p: v.record(text, v.tuple([amount, amount, amount, v.record(text, amount)])),
+  }),
+];
 export const wish = [
   format({ most: v.optional(level), lower: v.optional(v.boolean()), gone: v.optional(v.array(text)) }),
 ];
--- a/src/intake.ts
+++ b/src/intake.ts
@@ -60,6 +60,11 @@
     return this.lanes.offer(c.c, c, now).map((x) => this.later(x));
   }
 
+  /** Of the submissions that may wait to be worked off, so many do. */
+  get fill(): number {
+    return this.lanes.fill('submit');
+  }
+
   take(now: number): { commands: Command[]; answers: Effect[] } {
     const { items, expired } = this.lanes.take(perStep, now);
     const commands = this.inner.concat(items);
--- a/src/lanes/lanes.ts
+++ b/src/lanes/lanes.ts
@@ -39,6 +39,12 @@
     return this.held;
   }
 
+  /** How much of what may wait in a lane does. */
+  fill(name: K): number {
+    const q = this.queues.find((x) => x.name === name)!;
+    return q.items.length / q.lane.most;
+  }
+
   /** Takes an item in. Returns whom that turns away: itself, or another that is needed less. */
   offer(name: K, item: T, now: number): T[] {
     const q = this.queues.find((x) => x.name === name)!;
--- a/src/levels/levels.ts
+++ b/src/levels/levels.ts
@@ -12,7 +12,7 @@
 }
 
 /** The newest level that this program knows. */
-export const newestLevel = 2;
+export const newestLevel = 3;
 
 /** Of a program whose presence tells nothing: it was written before there were levels. */
 export const unaware: Ability = { program: 'before levels', least: 1, most: 1, features: [], formats: {} };
@@ -23,6 +23,8 @@
   'small-jobs': { level: 2, stays: false },
   /** Leadership and machine types are where programs that know no levels neither see nor take them. */
   'barred-lead': { level: 2, stays: true },
+  /** Who may write how much is a stored plan; nothing else that is stored is new. */
+  'admission-plan': { level: 3, stays: false },
 } as const satisfies Record<
   string,
   { level: number; /** Until the level is left, also while it is lowered. */ stays: boolean }
--- a/src/memory.ts
+++ b/src/memory.ts
@@ -16,6 +16,8 @@
   private collectedAt = -Infinity;
   private collect: (() => void) | null = null;
   private tight = false;
+  /** Of what may be held before only what is needed most is taken in. */
+  share = 0;
 
   constructor(
     private readonly limits: Limits['memory'],
@@ -33,6 +35,7 @@
       held = this.heldMb();
       this.log('info', 'memory collected', { before: Math.round(before), after: Math.round(held) });
     }
+    this.share = held / this.limits.tightMb;
     const tight = held > this.limits.tightMb;
     if (tight !== this.tight)
       this.log('warn', tight ? 'memory is short' : 'memory is enough again', { held: Math.round(held) });
--- a/src/peers/frames.ts
+++ b/src/peers/frames.ts
@@ -1,5 +1,5 @@
 import protobuf from 'protobufjs/light.js';
-import type { Turned, Wants } from '../admission/index.js';
+import type { Demand, KindWant, Turned } from '../admission/index.js';
 import type { Speaks } from '../formats/index.js';
 import type { Pulse } from '../core/effects.js';
 import type { ExitWhy, Report, TaskPhase } from '../model/report.js';
@@ -83,6 +83,20 @@
         users: { type: 'uint32', id: 6 },
         /** It says what it wants. Zeros are not sent: without this, one that wants nothing would look like one that does not say. */
         says: { type: 'bool', id: 7 },
+        /** How far behind it is with writing for accepted work, tenths of a second. */
+        behind: { type: 'uint32', id: 8 },
+        /** The plan that it follows. */
+        follows: { type: 'uint32', id: 9 },
+        kinds: { rule: 'repeated', type: 'Kind', id: 10 },
+      },
+    },
+    /** What users of a team and class want there, a second. */
+    Kind: {
+      fields: {
+        team: { type: 'string', id: 1 },
+        class: { type: 'string', id: 2 },
+        weight: { type: 'float', id: 3 },
+        want: { type: 'float', id: 4 },
       },
     },
     /** Jobs that were turned away, and since when their users try. */
@@ -178,7 +192,8 @@
   if ('relay' in frame) return { relay: { id: frame.relay.id, report: reportOut(frame.relay.report) } };
   if ('pulse' in frame) {
     const { wants, ...rest } = frame.pulse;
-    return { pulse: { ...rest, ...wants, says: wants !== null } };
+    const behind = Math.round((wants?.behindS ?? 0) * 10);
+    return { pulse: { ...rest, ...wants, behind, says: wants !== null } };
   }
   if (!('hello' in frame)) return frame;
   const { member, run, speaks } = frame.hello;
@@ -208,9 +223,15 @@
     return { relayed: { id, status, body: text } };
   }
   if (f['pulse']) {
-    const pulse = f['pulse'] as Omit<Pulse, 'wants'> & Wants & { says: boolean };
-    const { epoch, run, busy, front, tasks, users } = pulse;
-    const wants = pulse.says ? { tasks, users } : null;
+    const pulse = f['pulse'] as Omit<Pulse, 'wants'> & Demand & { says: boolean; behind: number };
+    const { epoch, run, busy, front, tasks, users, behind, follows } = pulse;
+    const kinds = pulse.kinds.map(({ team, class: c, weight, want }: KindWant) => ({
+      team,
+      class: c,
+      weight,
+      want,
+    }));
+    const wants = pulse.says ? { tasks, users, behindS: behind / 10, follows, kinds } : null;
     return { pulse: { epoch, run, busy, front, wants } };
   }
   if (f['turned']) {
--- a/src/service.ts
+++ b/src/service.ts
@@ -175,8 +175,9 @@
     const now = performance.eventLoopUtilization();
     const { utilization: busy } = performance.eventLoopUtilization(now, this.utilization);
     this.utilization = now;
-    this.push({ c: 'load', busy, connections: this.front.tend(performance.now()) });
     this.intake.tight = this.memory.look(performance.now());
+    const connections = this.front.tend(performance.now());
+    this.push({ c: 'load', busy, connections, memory: this.memory.share, waiting: this.intake.fill });
   }
 
   private fromPeer(from: string, frame: Frame): void {
--- a/test/admission.test.ts
+++ b/test/admission.test.ts
@@ -10,7 +10,7 @@
   Tickets,
   type Entry,
 } from '../src/admission/index.js';
-import { Flood, flooding } from './flood.js';
+import { Flood, flooding, floodable } from './flood.js';
 import { ownerOf, leaderOf } from './rolls.js';
 import { World } from './world.js';
 
@@ -51,7 +51,10 @@
 });
 
 test('parts: all controllers together stay below the whole, whatever they want, and each has something', () => {
-  const wants = fc.array(fc.record({ tasks: amount, users: amount }), { minLength: 1, maxLength: 7 });
+  const wants = fc.array(fc.record({ tasks: amount, users: amount, behindS: amount }), {
+    minLength: 1,
+    maxLength: 7,
+  });
   fc.assert(
     fc.property(fc.double({ min: 1, max: 200, noNaN: true }), wants, (writes, list) => {
       const parts = partsOf(writes, list);
@@ -218,14 +221,7 @@
 
 for (const c of cases)
   test(`flood: ${c.what}: neither the small team nor the small class starves`, () => {
-    const w = new World(3, { 'idle-boots': 1000, 'fair-admission': 1 });
-    for (const n of w.nodes) {
-      n.settings.state.write_rps = 30;
-      n.boot();
-    }
-    w.state.writesPerS = 30;
-    w.capacity = 10;
-    w.play(6);
+    const w = floodable();
     const users = new Flood(w, c.streams ?? flooding);
     for (const j of users.jobs) w.gangs.set(j.spec.id, 1);
     c.during?.(w);
--- a/test/flood.ts
+++ b/test/flood.ts
@@ -1,5 +1,6 @@
+import type { Operators } from '../src/config/operators.js';
 import type { JobSpec } from '../src/model/job.js';
-import { spec, type Node, type World } from './world.js';
+import { spec, thisProgram, World, type Node, type Program } from './world.js';
 
 interface Stream {
   name: string;
@@ -133,3 +134,21 @@
   { name: 'class', perS: 1, fromMs: 0, forMs: 60_000, job: { team: 'blue', class: 'small' } },
   { name: 'team', perS: 1, fromMs: 0, forMs: 60_000, job: { team: 'red', class: 'other' } },
 ];
+
+/** Three controllers, and a state service that takes 30 writes a second; nothing is asked of them yet. */
+export function floodable(
+  operators: Partial<Operators> = { 'fair-admission': 1 },
+  program: Program = thisProgram,
+): World {
+  const w = new World(3, { 'idle-boots': 1000, ...operators });
+  for (const n of w.nodes) {
+    n.program = program;
+    n.settings.state.write_rps = 30;
+    n.boot();
+  }
+  w.state.writesPerS = 30;
+  w.capacity = 10;
+  w.play(8);
+  for (const x of w.workers.values()) x.runS = 5;
+  return w;
+}
--- a/test/measureflood.ts
+++ b/test/measureflood.ts
@@ -1,37 +1,67 @@
 /** Admission in a flood, on the scripted world: `npm run measure -- flood`. Figures are simulated. */
-import { Flood, flooding } from './flood.js';
-import { thisProgram, World, type Program } from './world.js';
+import { jain, maxMin, nextPlan, type Demand, type KindWant, type Member } from '../src/admission/index.js';
+import type { Operators } from '../src/config/operators.js';
+import { Flood, flooding, floodable } from './flood.js';
 
-export function flood(say: (text: string) => void, programs: Program[] = [thisProgram]): void {
-  for (const program of programs) {
-    const w = new World(3, { 'idle-boots': 1000, 'fair-admission': 1 });
-    for (const n of w.nodes) {
-      n.program = program;
-      n.boot();
-    }
-    w.state.writesPerS = 30;
-    w.capacity = 10;
-    for (const n of w.nodes) n.settings.state.write_rps = 30;
-    w.play(6);
+const ways: [string, Partial<Operators>][] = [
+  ['today', {}],
+  ['by pulses (level 2)', { 'fair-admission': 1, 'level-most': 2 }],
+  ['by the plan (level 3)', { 'fair-admission': 1 }],
+];
+
+/** What each stream is owed, a second: those that want little all of it, the flood what is left. */
+const owed = (perS: number): number[] =>
+  maxMin(
+    perS,
+    flooding.map((s) => ({ want: s.perS, weight: 1, floor: 0 })),
+  );
+
+export function flood(say: (text: string) => void): void {
+  for (const [name, operators] of ways) {
+    const w = floodable(operators);
     const refused = w.state.refused;
     const commits = w.commits.length;
     const users = new Flood(w, flooding);
-    for (const x of w.workers.values()) x.runS = 5;
     w.play(60);
-    const during = users.jobs.filter((j) => j.acceptedAt > 0).length;
+    const during = users.jobs.filter((j) => j.acceptedAt > 0);
+    const written = w.commits
+      .slice(commits)
+      .filter((c) => c.outcome.r === 'ok')
+      .reduce((n, c) => n + c.txn.apply.length, 0);
+    // Against what max-min owes each of what was accepted altogether.
+    const shares = flooding.map(
+      (s, i) => during.filter((j) => j.stream === s).length / 60 / owed(during.length / 60)[i],
+    );
     w.play(70);
-    say(`${program.name}: 40 jobs a second of one class for 60 s, 30 writes a second (simulated)`);
-    for (const name of ['flood', 'class', 'team']) {
-      const f = users.of(name);
+    say(`${name}: 40 jobs a second of one class for 60 s, 30 writes a second (simulated)`);
+    for (const { name: of } of flooding) {
+      const f = users.of(of);
       say(
-        `  ${name.padEnd(6)} ${f.jobs} jobs: ${(100 * f.quick).toFixed(0)}% accepted within 1 s, ${(100 * f.accepted).toFixed(0)}% at all (p95 ${f.p95} ms), ${(100 * f.run).toFixed(0)}% have run`,
+        `  ${of.padEnd(6)} ${f.jobs} jobs: ${(100 * f.quick).toFixed(0)}% accepted within 1 s, ${(100 * f.accepted).toFixed(0)}% at all (p95 ${f.p95} ms), ${(100 * f.run).toFixed(0)}% have run`,
       );
     }
     const all = w.commits.length - commits;
     const bad = w.state.refused - refused;
     say(
-      `  ${(during / 60).toFixed(1)} accepted a second; ${bad} of ${all} commits refused (${((100 * bad) / all).toFixed(1)}%)`,
+      `  ${(during.length / 60).toFixed(1)} accepted and ${(written / 60).toFixed(1)} written a second; ${bad} of ${all} commits refused (${((100 * bad) / all).toFixed(1)}%)`,
     );
+    say(`  Jain's index of what each got of what it is owed: ${jain(shares).toFixed(3)}`);
     say(`  answers: ${[...users.answers].map(([s, n]) => `${s}: ${n}`).join(', ')}`);
   }
+  for (const classes of [10, 1000, 10_000]) {
+    const kinds = Array.from({ length: classes }, (_, i): KindWant => ({
+      team: `t${i % 5}`,
+      class: `c${i}`,
+      weight: 1,
+      want: 1,
+    }));
+    const demand: Demand = { tasks: 20, users: 20, behindS: 1, follows: 1, kinds };
+    const members: Member[] = ['a', 'b', 'c'].map((name) => ({ name, here: true, fallen: false, demand }));
+    const from = performance.now();
+    const times = classes > 1000 ? 3 : 100;
+    for (let i = 0; i < times; i++) nextPlan(null, 40, members, false, () => 1);
+    say(
+      `  a plan of ${classes} kinds at each of three controllers (16 are told at most): ${((performance.now() - from) / times).toFixed(2)} ms`,
+    );
+  }
 }
--- a/test/measurelevels.ts
+++ b/test/measurelevels.ts
@@ -114,7 +114,7 @@
   w.capacity = 2;
   withWorkers(w, placed);
   for (const [id] of placed) w.endless.add(id);
-  w.playUntil(() => levelOf(w).level === 2, 30);
+  w.playUntil(() => levelOf(w).level >= 2, 30);
   const left = () => [...w.state.keys.keys()].filter((k) => k.startsWith('dp/t/req-1')).length;
   const waits: number[][] = [];
   const began = w.now;
--- /dev/null
+++ b/test/plan.test.ts
@@ -0,0 +1,402 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import {
+  differs,
+  floorOf,
+  Floors,
+  longestWaitS,
+  nextPlan,
+  Pressure,
+  wholeOf,
+  Wishes,
+  withoutPlan,
+  type Demand,
+  type KindUse,
+  type KindWant,
+  type Member,
+  type Plan,
+} from '../src/admission/index.js';
+import { planData, readPlan } from '../src/core/records.js';
+import { formats, inspect } from '../src/formats/index.js';
+import { Flood, flooding, floodable } from './flood.js';
+import { leaderOf, levelOf, ownerOf, wish } from './rolls.js';
+import type { JobSpec } from '../src/model/job.js';
+import { spec, World } from './world.js';
+
+const demand = (tasks: number, users: number, follows = 0, kinds: KindWant[] = []): Demand => ({
+  tasks,
+  users,
+  behindS: 0,
+  kinds,
+  follows,
+});
+const alike = (): number => 1;
+const rate = fc.double({ min: 0, max: 80, noNaN: true });
+
+test('plans: whichever plan each follows, all of them together never write more than the whole', () => {
+  // Each step: what each wants, who has caught up with the newest plan, who has told the leader so, who is gone, time passes.
+  const step = fc.record({
+    wants: fc.array(fc.tuple(rate, rate), { minLength: 4, maxLength: 4 }),
+    catches: fc.array(fc.boolean(), { minLength: 4, maxLength: 4 }),
+    tells: fc.array(fc.boolean(), { minLength: 4, maxLength: 4 }),
+    here: fc.array(fc.boolean(), { minLength: 4, maxLength: 4 }),
+    fallen: fc.array(fc.boolean(), { minLength: 4, maxLength: 4 }),
+    settled: fc.boolean(),
+  });
+  fc.assert(
+    fc.property(
+      fc.integer({ min: 2, max: 4 }),
+      fc.integer({ min: 10, max: 150 }),
+      fc.array(step),
+      (n, writes, steps) => {
+        const names = ['a', 'b', 'c', 'd'].slice(0, n);
+        let plan: Plan | null = null;
+        const plans = new Map<number, Plan>();
+        /** The plan that each follows (0: none yet, an equal share; -1: its view is old, its floor), and has told of. */
+        const follows = names.map(() => 0);
+        const told = names.map(() => 0);
+        for (const s of steps) {
+          names.forEach((_, i) => {
+            if (plan && s.catches[i]) follows[i] = plan.number;
+            if (s.tells[i]) told[i] = Math.max(told[i], follows[i]);
+            // Older than views may be: whoever does not follow the last one has fallen back.
+            if (plan && s.settled && follows[i] < plan.number) follows[i] = -1;
+            if (plan && !s.here[i] && s.fallen[i]) follows[i] = -1;
+          });
+          const members = names.map((name, i): Member => ({
+            name,
+            here: s.here[i],
+            fallen: !s.here[i] && s.fallen[i],
+            demand: s.here[i] ? demand(s.wants[i][0], s.wants[i][1], told[i]) : null,
+          }));
+          plan = nextPlan(plan, writes, members, s.settled, alike);
+          plans.set(plan.number, plan);
+          const used = names.map((name, i) => {
+            if (follows[i] === 0) return withoutPlan(writes, n, false).total;
+            if (follows[i] < 0) return withoutPlan(writes, n, true).total;
+            return plans.get(follows[i])!.parts.get(name)!.total;
+          });
+          const sum = used.reduce((x, y) => x + y, 0);
+          assert.ok(sum <= wholeOf(writes) + 1e-6, `${used.join(' + ')} of ${wholeOf(writes)}`);
+          for (const p of plan.parts.values()) {
+            assert.ok(
+              p.total >= floorOf(writes, n) - 1e-9 && p.users <= p.total + 1e-9 && p.total <= p.most + 1e-9,
+            );
+          }
+        }
+      },
+    ),
+    { numRuns: 400 },
+  );
+});
+
+test('plans: what is taken from one is given to another only when the first follows', () => {
+  const members = (follows: number): Member[] => [
+    { name: 'a', here: true, fallen: false, demand: demand(40, 5, follows) },
+    { name: 'b', here: true, fallen: false, demand: demand(0, 2, follows) },
+  ];
+  const first = nextPlan(null, 40, members(0), false, alike);
+  const of = (p: Plan, name: string) => p.parts.get(name)!.total;
+  assert.ok(of(first, 'a') <= wholeOf(40) / 2 && of(first, 'b') < wholeOf(40) / 2);
+  const early = nextPlan(first, 40, members(0), false, alike);
+  assert.ok(of(early, 'a') <= of(first, 'a') + 1e-9);
+  const second = nextPlan(early, 40, members(early.number), false, alike);
+  assert.ok(of(second, 'a') > wholeOf(40) * 0.6, String(of(second, 'a')));
+  // Another leader knows of nobody what it follows, until it is told or time has passed.
+  assert.ok(of(nextPlan(second, 40, members(0), false, alike), 'a') >= of(second, 'a') - 1e-9);
+  // Who is gone keeps its floor, the others get the rest once it is settled.
+  const gone: Member[] = [members(9)[0], { name: 'b', here: false, fallen: true, demand: null }];
+  const third = nextPlan(second, 40, gone, true, alike);
+  assert.ok(Math.abs(of(third, 'b') - floorOf(40, 2)) < 1e-9);
+  assert.equal(differs(third, nextPlan(third, 40, gone, true, alike), 40), false);
+});
+
+test('plans: team first, then class, and those to whom their users come; who wants little takes its turn at once', () => {
+  const kind = (team: string, cls: string, want: number, weight = 1): KindWant => ({
+    team,
+    class: cls,
+    weight,
+    want,
+  });
+  const members: Member[] = [
+    {
+      name: 'a',
+      here: true,
+      fallen: false,
+      demand: demand(0, 45, 1, [kind('x', 'flood', 20), kind('y', 'flood', 10)]),
+    },
+    {
+      name: 'b',
+      here: true,
+      fallen: false,
+      demand: demand(0, 12, 1, [kind('y', 'flood', 10), kind('y', 'small', 1)]),
+    },
+  ];
+  const before: Plan = nextPlan(null, 20, members, true, alike);
+  const { parts } = nextPlan(before, 20, members, true, alike);
+  const [a, b] = [parts.get('a')!, parts.get('b')!];
+  // Half of all for x, which comes to a alone; of y's half its small class gets all it wants.
+  assert.ok(a.users > b.users * 1.5, `${a.users} ${b.users}`);
+  assert.ok(a.kinds.get('x flood')! > a.kinds.get('y flood')! * 1.7);
+  assert.ok(b.kinds.get('y small')! >= b.kinds.get('y flood')!);
+});
+
+test('plans are records like others: their format, what fits into a value, damaged ones', () => {
+  const kinds = Array.from({ length: 16 }, (_, i) => ({
+    team: 't',
+    class: `${'c'.repeat(150)}${i}`,
+    weight: 1,
+    want: i + 1,
+  }));
+  const members: Member[] = ['a', 'b', 'c'].map((name) => ({
+    name,
+    here: true,
+    fallen: false,
+    demand: demand(9, 9, 0, kinds),
+  }));
+  const plan = nextPlan(null, 40, members, false, alike);
+  const data = planData(plan, 8);
+  assert.ok(JSON.stringify(data).length <= 4096);
+  assert.deepEqual(inspect('plan', data), { ok: true, format: 1, extras: null });
+  assert.equal(readPlan(data).parts.get('b')!.total, plan.parts.get('b')!.total);
+  assert.match(JSON.stringify(inspect('plan', { n: 1, p: { a: [1, 2] } })), /damaged.*p\.a/);
+  assert.equal(formats.plan.length, 1);
+});
+
+test('what users wish is told by team and class, bounded; pressure slows the taking in, writes do not count twice', () => {
+  const w = new Wishes(100, 60_000);
+  for (let i = 0; i < 10_000; i++) w.add('t', `c${i}`, 1, i);
+  for (let i = 0; i < 300; i++) w.add('u', 'one', 1, 10_000 + i * 10);
+  const list = w.list(13_000);
+  assert.ok(list.length <= 16 && list.some((k) => k.team === 't' && k.class === '*'));
+  assert.ok(list.some((k) => k.team === 'u' && k.want > 20));
+  const p = new Pressure();
+  const load = { writes: 3, requests: 0.2, time: 0.3, sockets: 0.1, memory: 0.4, waiting: 0 };
+  for (let i = 0; i < 50; i++) p.look(load);
+  assert.deepEqual([p.picture.factor, p.picture.tightest], [1, 'writes']);
+  for (let i = 0; i < 50; i++) p.look({ ...load, writes: 0.5, memory: 1 });
+  assert.ok(p.picture.factor < 0.3 && p.picture.tightest === 'memory');
+});
+
+const tired = { timeout: 120_000 };
+
+function floodWorld(): { w: World; users: Flood } {
+  const w = floodable();
+  assert.equal(levelOf(w).level, 3);
+  return { w, users: new Flood(w, flooding) };
+}
+
+const planOf = (w: World) => w.state.keys.get('dp/plan')!;
+const served = (users: Flood, quick: number): void => {
+  for (const name of ['team', 'class']) {
+    const f = users.of(name);
+    assert.ok(f.quick >= quick && f.accepted >= 0.98, `${name}: ${JSON.stringify(f)}`);
+  }
+};
+
+test(
+  'a leader that stood still in the flood comes back with an old plan: it writes none, and follows the newest',
+  tired,
+  () => {
+    const { w, users } = floodWorld();
+    w.play(15);
+    const old = leaderOf(w)!;
+    const { number } = old.controller.replica.plan!;
+    assert.ok(number >= 2);
+    old.frozen = true;
+    w.play(20);
+    const by = w.nodes.find(
+      (n) => n.member === (w.state.keys.get('dp/chief')!.data as { member: string }).member,
+    )!;
+    assert.notEqual(by, old);
+    const stamp = planOf(w).stamp;
+    const mark = w.commits.length;
+    old.frozen = false;
+    w.play(0.05);
+    // It acts on what it had: within its floor, and no plan of it gets through.
+    assert.ok(old.controller['committer'].writesPerS <= floorOf(30, 3) + 1e-9);
+    w.play(10);
+    const plans = w.commits.slice(mark).filter((c) => c.txn.apply.some((a) => a.key === 'dp/plan'));
+    assert.ok(plans.every((c) => c.member === by.member || c.outcome.r !== 'ok'));
+    assert.ok(planOf(w).stamp >= stamp);
+    assert.equal(old.controller.replica.plan!.number, by.controller.replica.plan!.number);
+    w.play(90);
+    served(users, 0.8);
+    assert.deepEqual(w.broken, []);
+  },
+);
+
+test(
+  'two plans in force at once, users at one controller, no talk between them: few commits are refused',
+  tired,
+  () => {
+    const { w, users } = floodWorld();
+    w.talk = false;
+    const follower = w.nodes.find((n) => n !== leaderOf(w) && n !== ownerOf(w))!;
+    const refused = w.state.refused;
+    const commits = w.commits.length;
+    w.after(10_000, () => (follower.cut = true));
+    w.after(14_000, () => (follower.cut = false));
+    w.play(130);
+    const share = (w.state.refused - refused) / (w.commits.length - commits);
+    assert.ok(share < 0.02, String(share));
+    served(users, 0.8);
+    assert.deepEqual(w.broken, []);
+  },
+);
+
+test('plans are written seldom, and hardly at all when nothing changes', tired, () => {
+  const { w } = floodWorld();
+  const written = () =>
+    w.commits.filter((c) => c.outcome.r === 'ok' && c.txn.apply.some((a) => a.key === 'dp/plan')).length;
+  const before = written();
+  w.play(60);
+  // Two a state lease (3.2 s) at most.
+  assert.ok(written() - before <= 60 / 1.6, String(written() - before));
+  w.play(90);
+  const quiet = written();
+  w.play(60);
+  assert.ok(written() - quiet <= 10, String(written() - quiet));
+});
+
+test('clocks apart by the most that they may be: parts hold, nobody starves', tired, () => {
+  const { w, users } = floodWorld();
+  w.nodes.forEach((n, i) => (n.clockRate = 1 + (i - 1) * 0.0005));
+  const refused = w.state.refused;
+  const commits = w.commits.length;
+  w.play(130);
+  assert.ok((w.state.refused - refused) / (w.commits.length - commits) < 0.02);
+  served(users, 0.98);
+});
+
+test(
+  'the level is lowered and raised in the flood: without the plan all go by pulses, then by it again',
+  tired,
+  () => {
+    const { w, users } = floodWorld();
+    w.play(10);
+    wish(w, { most: 2, lower: true });
+    assert.ok(w.playUntil(() => levelOf(w).level === 2, 20));
+    w.play(5);
+    assert.ok(w.nodes.every((n) => n.controller['planning'].follows === 0));
+    wish(w, {});
+    assert.ok(w.playUntil(() => levelOf(w).level === 3, 20));
+    w.play(100);
+    assert.ok(w.nodes.every((n) => n.controller['planning'].follows === (planOf(w).data as { n: number }).n));
+    served(users, 0.9);
+    assert.deepEqual(w.broken, []);
+  },
+);
+
+test(
+  'a plan that cannot be read: each falls back to its floor, serving goes on, and it is followed when it can be',
+  tired,
+  () => {
+    const { w } = floodWorld();
+    const { data } = planOf(w);
+    w.state.commit({ when: [], apply: [{ key: 'dp/plan', data: { v: 9, x: 1 } }] });
+    w.play(2);
+    for (const n of w.nodes) assert.ok(n.controller['committer'].writesPerS <= floorOf(30, 3) + 1e-9);
+    assert.equal((planOf(w).data as { v: number }).v, 9);
+    w.state.commit({ when: [], apply: [{ key: 'dp/plan', data: data as Record<string, unknown> }] });
+    w.play(4);
+    for (const n of w.nodes) assert.ok(n.controller['planning'].follows > 0);
+  },
+);
+
+test('floors: owed after a whole window with less, up to the floor, by team and then by class, those that waited longest first', () => {
+  const f = new Floors(10_000, 0.5);
+  const uses = (small: number, waits = true): KindUse[] => [
+    { kind: 'a big', team: 'a', share: 1 - small, waiting: true },
+    { kind: 'b small', team: 'b', share: small, waiting: waits },
+    { kind: 'b other', team: 'b', share: 0, waiting: false },
+  ];
+  assert.deepEqual(f.look(0, uses(0)), []);
+  assert.deepEqual(f.look(9000, uses(0)), []);
+  // Half of an equal part: a quarter for the team, all of it for its only class that has work.
+  assert.deepEqual(f.look(10_000, uses(0)), [{ kind: 'b small', share: 0.25 }]);
+  assert.deepEqual(
+    f.look(11_000, uses(0.2)).map((o) => Math.round(o.share * 100)),
+    [5],
+  );
+  assert.deepEqual(f.look(12_000, uses(0.25)), []);
+  // It had nothing waiting meanwhile: a window begins anew.
+  f.look(20_000, uses(0, false));
+  assert.deepEqual(f.look(29_000, uses(0)), []);
+  const many = Array.from({ length: 10_000 }, (_, i) => ({
+    kind: `c ${i}`,
+    team: 'c',
+    share: 0,
+    waiting: true,
+  }));
+  const g = new Floors(1000, 0.5);
+  g.look(0, many);
+  assert.equal(g.look(1000, many).length, 16);
+});
+
+/** The fleet is full, and work with deadlines for twice of it goes on coming; what nobody waits for goes behind all of it. */
+function crowdedFleet(floorShare: number, over: Partial<JobSpec> = {}) {
+  const w = new World(3, { 'idle-boots': 1000, 'floor-share': floorShare });
+  w.capacity = 4;
+  w.play(6);
+  const users = new Flood(w, [
+    {
+      name: 'urgent',
+      perS: 6,
+      fromMs: 0,
+      forMs: 150_000,
+      job: { team: 'blue', class: 'u', cpus: 1, deadlineS: 900 },
+    },
+  ]);
+  const run = (s: number): void => {
+    for (let i = 0; i < s; i++) {
+      for (const x of w.workers.values()) x.runS = 10;
+      w.play(1);
+    }
+  };
+  run(40);
+  const at = w.now;
+  w.nodes[0].submit(spec('req-1', { team: 'blue', class: 'low', tasks: 20, ...over }));
+  return { w, users, run, at };
+}
+const lowStarts = (w: World) => w.starts.filter((s) => s.piece.startsWith('req-1/'));
+
+test(
+  'a flood of work with deadlines: work without gets its floor within the stated time, no more, and nothing is stopped for it',
+  tired,
+  () => {
+    const none = crowdedFleet(0);
+    none.run(80);
+    assert.equal(lowStarts(none.w).length, 0);
+    const { w, run, at } = crowdedFleet(0.25);
+    const bound = longestWaitS({ windowS: 32, runS: 10, machineS: 11, roundS: 1, reportS: 2 });
+    run(Math.ceil(bound));
+    assert.ok(lowStarts(w).length > 0 && (lowStarts(w)[0].at - at) / 1000 <= bound);
+    // An eighth of 32 CPUs: two classes of one team, a quarter of an equal part.
+    let most = 0;
+    for (let i = 0; i < 40; i++) {
+      run(1);
+      most = Math.max(most, w.running('req-1').length);
+    }
+    assert.ok(most >= 3 && most <= 4, String(most));
+    assert.equal(
+      w.nodes.flatMap((n) => n.logged).filter((l) => l[1] === 'preempting' || l[1] === 'others give way')
+        .length,
+      0,
+    );
+    assert.deepEqual(w.broken, []);
+  },
+);
+
+test(
+  'a gang with less than its floor gets machines that run empty for it, in spite of single tasks that go first',
+  tired,
+  () => {
+    const { w, run } = crowdedFleet(0.25, { shape: 'gang', tasks: 2, cpus: 8 });
+    w.gangs.set('req-1', 2);
+    run(80);
+    assert.equal(new Set(lowStarts(w).map((s) => s.piece)).size, 2);
+    assert.deepEqual(w.broken, []);
+  },
+);
--- a/test/roll.ts
+++ b/test/roll.ts
@@ -48,6 +48,13 @@
   return { name: revision, Controller };
 }
 
+/** The newest level that a build knows; before levels: 1. */
+async function levelOfBuild(revision: string): Promise<number> {
+  const at = join(build(revision), 'js', 'levels', 'index.js');
+  if (!existsSync(at)) return 1;
+  return ((await import(pathToFileURL(at).href)) as { newestLevel: number }).newestLevel;
+}
+
 async function fixture(revision: string): Promise<void> {
   const program = await earlier(revision);
   const w = new World(3);
@@ -81,10 +88,12 @@
     return rollReal(join(build(revision), 'js', 'main.js'), now);
   }
   const program = await earlier(revision);
+  const level = await levelOfBuild(revision);
   const cast: Cast = {
     earlier: (n) => Object.assign(n, { program, operators: { ...defaults } }),
     fresh: (n) => Object.assign(n, { program: thisProgram, operators: { ...defaults } }),
-    knowsLevels: false,
+    level,
+    knowsLevels: level > 1,
   };
   let failed = 0;
   const only = args.find((a) => a.startsWith('--only='))?.slice(7);
--- a/test/rollreal.ts
+++ b/test/rollreal.ts
@@ -8,6 +8,7 @@
 import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { newestLevel } from '../src/levels/index.js';
 import { HttpClient } from '../src/net/client.js';
 import { readJson, replyJson } from '../src/net/json.js';
 import { freePort } from '../src/net/port.js';
@@ -331,8 +332,8 @@
       await pause(4000);
     }
     const until = performance.now() + 15_000;
-    while ((await level()) < 2 && performance.now() < until) await pause(200);
-    expect((await level()) === 2, 'level 2 once all have it');
+    while ((await level()) < newestLevel && performance.now() < until) await pause(200);
+    expect((await level()) === newestLevel, 'the newest level once all have it');
     await pause(3000);
     for (const [m, signal] of [
       ['n1', 'SIGTERM'],
--- a/test/rolls.ts
+++ b/test/rolls.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
-import { defaults } from '../src/config/operators.js';
+import { defaults, type Operators } from '../src/config/operators.js';
 import { levelKey } from '../src/core/keys.js';
 import { levelData, wishData } from '../src/core/records.js';
-import { noWish, type Wish } from '../src/levels/index.js';
+import { newestLevel, noWish, type Wish } from '../src/levels/index.js';
 import { Traffic } from './traffic.js';
 import { spec, thisProgram, type Node, World } from './world.js';
 
@@ -10,12 +10,15 @@
 export interface Cast {
   earlier(n: Node): void;
   fresh(n: Node): void;
+  /** The level of a fleet of the earlier program. */
+  level: number;
   /** An old program that comes back after the switch says so by standing by; the real one cannot. */
   knowsLevels: boolean;
 }
 
 /** This program, held at the old level: it writes what the earlier program wrote. */
-export const held = { ...defaults, 'level-most': 1 };
+export const heldAt = (level: number): Operators => ({ ...defaults, 'level-most': level });
+export const held = heldAt(1);
 
 export const levelOf = (w: World): { level: number; write: number } =>
   (w.state.keys.get(levelKey)?.data as { level: number; write: number } | undefined) ?? {
@@ -67,7 +70,7 @@
   return { w, users };
 }
 
-export const atNewLevel = (w: World): boolean => levelOf(w).level === 2;
+export const atNewLevel = (w: World): boolean => levelOf(w).level === newestLevel;
 
 /** Plays until everybody has their answer; then no rule may be broken. */
 export function finish(w: World, users: Traffic, withinS = 240): void {
@@ -81,7 +84,7 @@
 /** All three are replaced, one after the other. */
 export function rollAll(w: World, cast: Cast, order: number[], pauseS = 6): void {
   for (const i of order) {
-    assert.equal(levelOf(w).level, 1, 'raised before all have it');
+    assert.equal(levelOf(w).level, cast.level, 'raised before all have it');
     restart(w, w.nodes[i], cast.fresh);
     w.play(pauseS);
   }
@@ -194,7 +197,7 @@
     );
     w.play(10);
     assert.ok(lost >= 1, 'lost');
-    assert.ok(w.nodes.every((n) => n.controller.replica.levels.state.level === 2));
+    assert.ok(w.nodes.every((n) => n.controller.replica.levels.state.level >= 2));
     finish(w, users);
   },
   'transactions of the old level that are carried out after the switch change nothing'(cast) {
@@ -267,18 +270,18 @@
   },
   'rolled back before the switch'(cast) {
     const { w, users } = oldWorld(cast);
-    wish(w, { most: 1 });
+    wish(w, { most: cast.level });
     for (const i of [0, 1, 2]) {
       restart(w, w.nodes[i], cast.fresh);
       w.play(6);
     }
     w.play(10);
-    assert.equal(levelOf(w).level, 1);
+    assert.equal(levelOf(w).level, cast.level);
     for (const i of [2, 0, 1]) {
       restart(w, w.nodes[i], cast.earlier);
       w.play(6);
     }
-    assert.equal(levelOf(w).level, 1);
+    assert.equal(levelOf(w).level, cast.level);
     finish(w, users);
   },
   'rolled back after the switch: the level is lowered first'(cast) {
@@ -289,12 +292,12 @@
       'raised',
     );
     w.play(10);
-    wish(w, { most: 1, lower: true });
+    wish(w, { most: cast.level, lower: true });
     assert.ok(
-      w.playUntil(() => levelOf(w).level === 1, 60),
+      w.playUntil(() => levelOf(w).level === cast.level, 60),
       'lowered',
     );
-    const keys = [...w.state.keys.values()];
+    const keys = cast.level > 1 ? [] : [...w.state.keys.values()];
     assert.deepEqual(
       keys.filter((k) => (k.data as { v?: number }).v === 2 || ['dp/chief', 'dp/kinds'].includes(k.key)),
       [],
@@ -312,7 +315,7 @@
     w.play(0.2);
     restart(w, w.nodes[0], cast.earlier);
     w.play(8);
-    assert.equal(levelOf(w).level, 1);
+    assert.equal(levelOf(w).level, cast.level);
     rollAll(w, cast, [0, 1, 2]);
     assert.ok(
       w.playUntil(() => atNewLevel(w), 10),
@@ -323,14 +326,15 @@
   'two earlier versions at once'(cast) {
     const { w, users } = oldWorld(cast);
     // One knows levels already, but not this one.
-    const between = (n: Node): void => void Object.assign(n, { program: thisProgram, operators: held });
+    const between = (n: Node): void =>
+      void Object.assign(n, { program: thisProgram, operators: heldAt(cast.level) });
     restart(w, w.nodes[0], between);
     w.play(6);
     restart(w, w.nodes[1], cast.fresh);
     w.play(8);
     restart(w, w.nodes[2], cast.fresh);
     w.play(8);
-    assert.equal(levelOf(w).level, 1);
+    assert.equal(levelOf(w).level, cast.level);
     restart(w, w.nodes[0], cast.fresh);
     assert.ok(
       w.playUntil(() => atNewLevel(w), 10),
@@ -351,7 +355,7 @@
       w.play(6);
     }
     w.play(20);
-    assert.equal(levelOf(w).level, 1);
+    assert.equal(levelOf(w).level, cast.level);
     wish(w, { gone: ['n2'] });
     assert.ok(
       w.playUntil(() => atNewLevel(w), 10),
@@ -362,4 +366,4 @@
 };
 
 /** A level that no program here knows, as a later one would bring it. */
-export const laterLevel = levelData(3, 3);
+export const laterLevel = levelData(newestLevel + 1, newestLevel + 1);
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -445,20 +445,23 @@
   const frame = encodeFrame({ relayed: { id: 7, status: 200, body: '{"x":"ä"}' } });
   const reader = new FrameReader();
   assert.deepEqual(reader.push(frame.subarray(0, 3)), []);
-  const got = reader.push(
-    Buffer.concat([
-      frame.subarray(3),
-      encodeFrame({
-        pulse: { epoch: 2 ** 40, run: 'a', busy: 7, front: true, wants: { tasks: 3, users: 4 } },
-      }),
-    ]),
-  );
-  assert.deepEqual(got, [
-    { relayed: { id: 7, status: 200, body: '{"x":"ä"}' } },
-    { pulse: { epoch: 2 ** 40, run: 'a', busy: 7, front: true, wants: { tasks: 3, users: 4 } } },
-  ]);
+  const pulse = {
+    epoch: 2 ** 40,
+    run: 'a',
+    busy: 7,
+    front: true,
+    wants: {
+      tasks: 3,
+      users: 4,
+      behindS: 1.5,
+      follows: 7,
+      kinds: [{ team: 'a', class: 'b', weight: 2, want: 0.5 }],
+    },
+  };
+  const got = reader.push(Buffer.concat([frame.subarray(3), encodeFrame({ pulse })]));
+  assert.deepEqual(got, [{ relayed: { id: 7, status: 200, body: '{"x":"ä"}' } }, { pulse }]);
   // Guards against zeros, which are not sent: who wants nothing was taken for one that does not say what it wants.
-  for (const wants of [{ tasks: 0, users: 0 }, null]) {
+  for (const wants of [{ tasks: 0, users: 0, behindS: 0, follows: 0, kinds: [] }, null]) {
     const pulse = { epoch: 1, run: 'a', busy: 0, front: false, wants };
     assert.deepEqual(new FrameReader().push(encodeFrame({ pulse })), [{ pulse }]);
   }
--- a/test/stored.test.ts
+++ b/test/stored.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test';
 import { chunkData, jobCancelledData, jobData, wholeJobData } from '../src/core/records.js';
 import { empty, found, manyTasks, put, withWorkers, type Key, type Placing } from './foundstate.js';
+import { newestLevel } from '../src/levels/index.js';
 import { laterLevel, leaderOf, levelOf, ownerOf } from './rolls.js';
 import { Traffic } from './traffic.js';
 import { spec, World } from './world.js';
@@ -27,7 +28,7 @@
   w.endless.add('req-4');
   const cancelled = () => w.running('req-5').length;
   assert.equal(cancelled(), 2);
-  assert.ok(w.playUntil(() => levelOf(w).level === 2, 20));
+  assert.ok(w.playUntil(() => levelOf(w).level === newestLevel, 20));
   assert.ok(w.playUntil(() => cancelled() === 0, 40));
   assert.ok(w.playUntil(() => w.nodes[0].status('req-6')?.body['status'] === 'done', 90));
   assert.ok(w.playUntil(() => w.nodes[1].status('req-3')?.body['status'] === 'done', 400));
@@ -173,7 +174,7 @@
   w.capacity = 2;
   withWorkers(w, placed);
   for (let i = 0; i < 400; i++) w.endless.add(`req-${1000 + i}`);
-  assert.ok(w.playUntil(() => levelOf(w).level === 2, 30));
+  assert.ok(w.playUntil(() => levelOf(w).level === newestLevel, 30));
   const from = w.now;
   const users = new Traffic(w, 500, () => ({ cpus: 0.1 }), 1e9);
   const left = () => [...w.state.keys.keys()].filter((k) => k.startsWith('dp/t/req-1')).length;
@@ -210,15 +211,15 @@
 test('lowering is refused while something stored needs the level, with what to do', () => {
   const w = new World(2);
   w.play(5);
-  assert.equal(levelOf(w).level, 2);
+  assert.equal(levelOf(w).level, newestLevel);
   put(w, 'dp/j/req-5', { ...jobData(spec('req-5', { types: ['none'] }), 1), later: 1 });
   put(w, 'dp/wish', { most: 1, lower: true });
   w.play(10);
-  assert.equal(levelOf(w).level, 2);
+  assert.equal(levelOf(w).level, newestLevel);
   const note = dataOf(w, 'dp/members')?.['note'] as { text: string };
   assert.match(
     note.text,
-    /^not lowered: 1 records cannot be expressed at level 1: dp\/j\/req-5; start the newest/,
+    /^not lowered: 1 records cannot be expressed at level 2: dp\/j\/req-5; start the newest/,
   );
   put(w, 'dp/j/req-5', undefined);
   assert.ok(w.playUntil(() => levelOf(w).level === 1, 20));
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -6,6 +6,7 @@
 const cast: Cast = {
   earlier: (n) => (n.operators = held),
   fresh: (n) => (n.operators = { ...defaults }),
+  level: 1,
   knowsLevels: true,
 };
 
--- a/test/world.ts
+++ b/test/world.ts
@@ -203,6 +203,8 @@
   holdBack = false;
   /** It stands still while its clock runs on: what arrives waits. */
   frozen = false;
+  /** How fast its steady clock runs. */
+  clockRate = 1;
   /** Changes of the state reach it again only some time after it woke: first comes what had waited. */
   private newsAt = 0;
   private followed = -1;
@@ -270,7 +272,10 @@
     const controller = this.controller;
     let effects: Effect[] = [];
     try {
-      effects = controller.step(commands, { now: this.world.now, wall: 1e12 + this.world.now });
+      effects = controller.step(commands, {
+        now: this.world.now * this.clockRate,
+        wall: 1e12 + this.world.now,
+      });
     } catch (e) {
       // As a process: it ends.
       if (!this.world.mayDie) throw e;
@@ -311,7 +316,7 @@
         break;
       }
       case 'epoch':
-        reply({ c: 'epoch', sentAt: w.now, epoch: off ? null : w.state.epoch });
+        reply({ c: 'epoch', sentAt: w.now * this.clockRate, epoch: off ? null : w.state.epoch });
         break;
       case 'lease':
         reply({ c: 'leased', hold: off ? null : w.state.lease(e.ttlMs) });
@@ -350,7 +355,7 @@
       case 'list':
         reply({
           c: 'listed',
-          askedAt: w.now,
+          askedAt: w.now * this.clockRate,
           machines: w.cloudDown
             ? null
             : [...w.workers.values()].map((x) => ({
