--- a/src/core/desk.ts
+++ b/src/core/desk.ts
@@ -46,6 +46,8 @@
 const tryMs = 60_000;
 const longestRetryMs = 30_000;
 
+/** Of an equal share of the state service's requests: what readings for users may take. */
+const readingShare = 0.5;
 /** For so long after somebody had to wait it is told which teams and classes bring how much, ms. */
 const crowdMs = 10_000;
 const byUrgency = (spec: JobSpec): number => 2 ** urgencyRank[spec.urgency];
@@ -62,6 +64,9 @@
 export class Desk {
   private waiters: Waiter[] = [];
   private reading = false;
+  private readAt = -Infinity;
+  /** Guards against a storm of polls that uses up the state service's requests: readings take half of an equal share at most. */
+  private readonly readEveryMs: number;
   /** Submissions that wait to be taken in, and those whose write is under way. */
   private readonly newcomers = new Map<string, Newcomer>();
   private readonly submits = new Map<string, { rids: number[]; since: number }>();
@@ -90,6 +95,8 @@
     private readonly fair: boolean,
     random: Random,
   ) {
+    const { rps } = settings.state;
+    this.readEveryMs = (1000 * (1 + settings.peers.length)) / (rps * readingShare);
     const weightOf = teamWeights(settings.teams);
     this.wishes = new Wishes(mostWaiting / 8, tryMs);
     this.admission = new Admission(
@@ -387,8 +394,9 @@
         else if (w.then === 'withdraw') this.withdraw(w.rid, w.id, out);
         else this.answerJob(w.rid, w.id, out);
       }
-      if (!this.reading && this.waiters.some((w) => w.epoch === null)) {
+      if (!this.reading && now >= this.readAt && this.waiters.some((w) => w.epoch === null)) {
         this.reading = true;
+        this.readAt = now + this.readEveryMs;
         out.push({ e: 'epoch' });
       }
     }
--- a/test/admission.test.ts
+++ b/test/admission.test.ts
@@ -212,6 +212,40 @@
         w.after(4000, () => w.nodes.forEach((n) => n.boot()));
       }),
   },
+  {
+    what: 'users come unevenly: the flood through one controller, the others through two',
+    quick: 0.98,
+    streams: flooding.map((s) => ({ ...s, through: s.name === 'flood' ? [0] : [1, 2] })),
+  },
+  {
+    what: 'a class that is seen for the first time in it',
+    quick: 0.98,
+    streams: flooding.map((s) => (s.name === 'class' ? { ...s, fromMs: 30_000, forMs: 30_000 } : s)),
+  },
+  {
+    what: 'one controller of an earlier program: all go by pulses',
+    quick: 0.98,
+    during: (w) => {
+      w.nodes[2].operators = { ...w.nodes[2].operators, 'level-most': 2 };
+      w.nodes[2].boot();
+    },
+  },
+  {
+    what: 'a storm of polls with it',
+    quick: 0.98,
+    during: (w) => {
+      let rid = 5_000_000;
+      const storm = (): void => {
+        for (const n of w.nodes)
+          for (let i = 0; i < 3; i++) {
+            n.answers.delete(rid - 3000);
+            n.push({ c: 'query', rid: ++rid, id: `req-${100_001 + ((rid * 7) % 2000)}` });
+          }
+        if (w.now < 70_000) w.after(10, storm);
+      };
+      storm();
+    },
+  },
   {
     what: 'a state service that takes half',
     quick: 0.75,
