--- a/src/core/books/books.ts
+++ b/src/core/books/books.ts
@@ -60,6 +60,12 @@
   readonly claims: Claims;
   readonly hazard: HazardEstimate;
   readonly writer: Writer;
+  /** Placements on machines that are not there (yet), by host. */
+  private readonly homeless = new Map<string, Placement[]>();
+  /** Told of a task that nobody placed: its attempt, and the last that is known. */
+  attempted: (piece: string, attempt: number, last: number) => void = () => undefined;
+  /** Nothing is started while what may be running is not known. */
+  mayStart: () => boolean = () => true;
   /** Placements decided so far. */
   placed = 0;
   /** Jobs that were brought to their end here, by team. */
@@ -119,7 +125,21 @@
     const { now } = this.clock;
     // Guards against the stale owner: it may have answered this worker until its own view ran out of date.
     const leaseUntil = now + this.freshLimitMs + this.settings.workers.lease_s * 1000;
+    // Guards against machines that are brought back after what runs on them: what they hold would be taken for free.
+    const jobs = new Set(this.takeHomeless(record.host).map((p) => p.job.id));
+    for (const id of jobs) this.dropJob(id);
     this.machines.set(record.host, newMachine(record, type, now, leaseUntil));
+    for (const id of jobs) {
+      const job = this.replica.jobs.get(id);
+      if (job) this.takeJob(job);
+    }
+  }
+
+  /** What runs on a machine that is not there (yet). */
+  private takeHomeless(host: string): Placement[] {
+    const all = this.homeless.get(host) ?? [];
+    this.homeless.delete(host);
+    return all.filter((p) => p.job.active.get(p.index) === p && this.jobs.get(p.job.id) === p.job);
   }
 
   private takeJob(record: JobRecord): void {
@@ -130,7 +150,7 @@
     if (spec === null) return;
     const shard = this.replica.shardOf(spec.team);
     if (!this.owned.has(shard)) return;
-    const job = newJob(record, spec, shard, stored, this.chunkTasks);
+    const job = newJob(record, spec, shard, stored, this.chunkTasks, this.replica.attemptBase);
     job.match = this.matcher?.of(spec) ?? null;
     this.jobs.set(job.id, job);
     for (const [n, c] of stored ?? [])
@@ -229,6 +249,7 @@
     }
     // Its record is dropped only after the cloud has confirmed the deletion: all that was on it is gone.
     if (m && !now) for (const p of [...m.placements.values()]) this.gone(p, 'machine returned', 'lost');
+    if (!now) for (const p of this.takeHomeless(host)) this.gone(p, 'machine returned', 'lost');
     this.machines.delete(host);
   }
 
@@ -251,7 +272,9 @@
       stop: null,
     };
     job.active.set(p.index, placement);
-    this.machines.get(p.host)?.placements.set(pieceName(job.id, p.index), placement);
+    const m = this.machines.get(p.host);
+    if (m) m.placements.set(pieceName(job.id, p.index), placement);
+    else this.homeless.set(p.host, [...(this.homeless.get(p.host) ?? []), placement]);
     this.use(placement, 1);
     return placement;
   }
--- a/src/core/books/jobs.ts
+++ b/src/core/books/jobs.ts
@@ -10,6 +10,8 @@
   shard: number,
   stored: ReadonlyMap<number, ChunkRecord> | undefined,
   chunkTasks: number,
+  /** Attempts go on above this. */
+  attemptBase = 0,
 ): JobRun {
   const job: JobRun = {
     id: record.id,
@@ -43,7 +45,7 @@
       base,
       size: Math.min(chunkTasks, record.tasks - base),
       stamp: c?.stamp ?? 0,
-      last: c?.last ?? 0,
+      last: Math.max(c?.last ?? 0, attemptBase),
       done: c?.done.copy() ?? new Bits(),
       version: 0,
       placed: 0,
--- a/src/core/checkins.ts
+++ b/src/core/checkins.ts
@@ -2,6 +2,7 @@
 import type { Order, Report, TaskReport } from '../model/report.js';
 import { enoughEvidence, evidence, suspect, suspectMachines } from './blame.js';
 import type { Books } from './books/books.js';
+import { chunkOf } from './books/jobs.js';
 import type { Effect } from './effects.js';
 import { fetchS } from '../policy/pricing.js';
 import type { Chunk, JobRun, MachineRun, Placement } from './books/runs.js';
@@ -70,6 +71,9 @@
         }
       } else if (proof) {
         this.books.log('warn', 'stray task', { piece, attempt: t.attempt, host: m.host });
+        const job = this.books.jobs.get(t.job);
+        if (job && t.index < job.spec.tasks)
+          this.books.attempted(piece, t.attempt, chunkOf(job, t.index).last);
         orders.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
       }
     }
@@ -90,7 +94,7 @@
 
   /** Guards against starting what a crash could forget: durable first, and a gang's attempt as a whole. */
   private startable(p: Placement): boolean {
-    if (p.job.cancelled || p.job.finishing || p.job.frozen) return false;
+    if (p.job.cancelled || p.job.finishing || p.job.frozen || !this.books.mayStart()) return false;
     if (p.job.spec.shape !== 'gang') return p.chunk.durable >= p.version;
     for (const q of p.job.active.values()) if (q.chunk.durable < q.version) return false;
     return true;
--- a/src/core/committer.ts
+++ b/src/core/committer.ts
@@ -3,7 +3,7 @@
 import { txnOut } from '../wire/store.js';
 import { Attempts, pauseMs, type Random, type RetryPolicy } from '../retry/index.js';
 import type { CommitOutcome, Effect, Log } from './effects.js';
-import { levelKey } from './keys.js';
+import { incKey, incPrefix, levelKey } from './keys.js';
 import type { Replica } from './replica.js';
 
 /** What waits first when the state service's budget is short. */
@@ -63,6 +63,10 @@
   private readonly queues: Intent[][] = Array.from({ length: Rank.cleanup + 1 }, () => []);
   private flight: { built: Built[]; txn: Txn; mark: string; unsure: boolean } | null = null;
   private waitFor: { epoch: number; failed: string[] } | null = null;
+  /** Only presence and what brings back lost data is written. */
+  held = false;
+  /** Told of conditions of ours that failed. */
+  conflicted: (failed: Condition[], epoch: number) => void = () => undefined;
   /** Nothing is built before the view has reached this revision: it brought another level. */
   private blockedUntil = -1;
   private sent = true;
@@ -143,7 +147,7 @@
     }
     if (this.flight || now < this.resendAt || this.tokens < 1) return;
     if (this.replica.epoch < this.blockedUntil) return;
-    if (this.replica.levels.standsBy) this.standBy();
+    if (this.replica.levels.standsBy || this.held) this.standBy();
     const first = this.queues.findIndex((q) => q.length > 0);
     if (first < 0) return;
     // Nothing that users wait for: let a few changes gather.
@@ -161,6 +165,8 @@
     const built: Built[] = [];
     const fence = { key: levelKey, stamp: this.replica.stamp(levelKey) };
     const when = new Map<string, Condition>([[fence.key, fence]]);
+    const { inc } = this.replica;
+    if (inc) when.set(incKey(inc.n), { key: incKey(inc.n), stamp: inc.stamp });
     const apply: Write[] = [];
     const touched = new Set<string>();
     const most = Math.min(this.limits.ops, Math.floor(this.tokens));
@@ -226,7 +232,7 @@
 
   /** The ranks that wait, and what each may take before the others had their turn. */
   private turns(most: number): { rank: Rank; allowed: number }[] {
-    const last = this.replica.levels.standsBy ? Rank.membership : Rank.cleanup;
+    const last = this.replica.levels.standsBy || this.held ? Rank.membership : Rank.cleanup;
     const waiting = this.queues.flatMap((q, rank) => (q.length > 0 && rank <= last ? [rank as Rank] : []));
     const all = waiting.reduce((sum, rank) => sum + rankShares[rank], 0);
     this.queues.forEach((q, rank) => {
@@ -270,7 +276,7 @@
         for (const b of flight.built) b.intent.ok(o.epoch);
         break;
       case 'conflict':
-        if (o.failed.includes(levelKey)) {
+        if (o.failed.some((key) => key === levelKey || key.startsWith(incPrefix))) {
           this.blockedUntil = o.epoch;
           out.push({ e: 'catch-up', epoch: o.epoch });
         }
@@ -282,6 +288,10 @@
         } else {
           this.flight = null;
           const failed = new Set(o.failed);
+          this.conflicted(
+            flight.txn.when.filter((c) => failed.has(c.key)),
+            o.epoch,
+          );
           for (const b of flight.built) {
             const mine = b.txn.when.filter((c) => failed.has(c.key)).map((c) => c.key);
             if (mine.length > 0) b.intent.conflict(mine, o.epoch);
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -14,6 +14,8 @@
 import { Membership } from './membership.js';
 import { Neighbours } from './neighbours.js';
 import { Planning } from './planning.js';
+import type { Legacy } from './memory.js';
+import { Rebuilding } from './rebuilding.js';
 import { Replica } from './replica.js';
 import { Reports } from './reports.js';
 import { Upgrade } from './upgrade.js';
@@ -57,6 +59,8 @@
   private toldAwayAt = -Infinity;
   private readonly fair: boolean;
   private readonly planning: Planning;
+  private readonly rebuilding: Rebuilding;
+  private ended = false;
   private readonly pressure = new Pressure();
   private readonly requests = new Meter(3000);
   /** Shares that the process tells of: sockets, memory, room for what waits. */
@@ -74,6 +78,8 @@
     private readonly matcher: Matcher | null = null,
     /** Which program this is, for those who look after a roll. */
     program = '?',
+    /** What this process knew before the state service lost data. */
+    legacy: Legacy | null = null,
   ) {
     this.fair = operators['fair-admission'] > 0;
     this.levels = new Levels(abilityOf(program, operators['level-most']));
@@ -97,6 +103,7 @@
             ? this.log('info', 'record can be read again', { key })
             : this.log('error', 'record not acted on', { key, why }),
         levelChanged: () => this.levelChanged(),
+        incarnationChanged: () => (this.shardsChanged = true),
       },
       this.levels,
     );
@@ -146,6 +153,23 @@
       clock,
       log,
     );
+    this.rebuilding = new Rebuilding(
+      settings,
+      run,
+      replica,
+      committer,
+      this.neighbours,
+      clock,
+      ttlMs,
+      this.dispatcher.books.freshLimitMs + leaseMs,
+      legacy,
+      log,
+    );
+    this.dispatcher.books.attempted = (...what) => this.rebuilding.attempted(...what);
+    this.fleet.mayReturn = () => this.rebuilding.sureOfAbsence;
+    this.dispatcher.books.mayStart = () => this.rebuilding.startsAllowed;
+    this.desk.sureOfAbsence = () => this.rebuilding.sureOfAbsence;
+    committer.conflicted = (failed, epoch) => this.rebuilding.conflicted(failed, epoch);
     this.mostSockets = limits.sockets.most;
     if (this.fair) this.dispatcher.more = () => ({ admission: this.admissionSummary() });
     this.recovery = new Recovery(settings.workers.lease_s * 1000 * operators['recovery-leases']);
@@ -159,7 +183,8 @@
       {
         member: settings.member,
         run,
-        fresh: () => this.view.answersWorkers,
+        seen: (token) => this.rebuilding.token(token),
+        fresh: () => this.view.answersWorkers && this.rebuilding.acting,
         leading: () => this.membership.leading,
         handOver: (shard, to, toRun) => this.membership.handOver(shard, to, toRun),
       },
@@ -175,7 +200,7 @@
    * others could answer them.
    */
   get healthy(): boolean {
-    if (this.levels.standsBy || this.leaving.asked) return false;
+    if (this.levels.standsBy || this.leaving.asked || !this.rebuilding.acting) return false;
     const { told } = this.neighbours;
     // Read by somebody else: they can be asked meanwhile.
     if (this.replica.epoch < 0) return this.view.unreachable && told.epoch < 0;
@@ -188,9 +213,19 @@
     this.clock.wall = clock.wall;
     this.desk.out = out;
     this.view.wake();
+    // It was told to begin anew: nothing that it does counts any more.
+    if (this.ended) return out;
     for (const c of commands) this.handle(c, out);
+    if (this.rebuilding.step(out)) {
+      this.ended = true;
+      this.desk.abandon(out);
+      return out;
+    }
+    const { acting } = this.rebuilding;
+    this.committer.held = !acting;
     this.settle();
-    this.membership.tick(now, out);
+    this.membership.tick(now, out, acting, this.rebuilding.given);
+    this.rebuilding.tick(this.membership.leading);
     const leading = this.membership.leading;
     if (leading !== this.wasLeading) {
       this.wasLeading = leading;
@@ -198,7 +233,8 @@
       this.fleet.reset();
     }
     // Guards against a leader that was cut off or stood still: what it would rent or return may be another's by now.
-    if (leading && !this.view.stale && !this.leaving.asked) {
+    if (leading && acting && !this.view.stale && !this.leaving.asked) {
+      this.rebuilding.audit(out);
       this.fleet.tick(out);
       this.upgrade.tick();
       if (this.fair) this.planning.lead(this.demand);
@@ -211,12 +247,18 @@
     this.committer.pump(now, out);
     if (this.view.wantsVouching) this.neighbours.ask(out);
     this.tell(out, null);
+    if (this.rebuilding.wantsReading) out.push({ e: 'epoch' });
     this.read(leading, out);
     this.follow();
     if (this.fair) this.requests.add(out.filter((e) => asksState.has(e.e)).length, now);
     return out;
   }
 
+  /** Whether it may say of a job that it was never accepted. */
+  get sureOfAbsence(): boolean {
+    return this.rebuilding.sureOfAbsence;
+  }
+
   /** How far this process is, if it was asked to leave. */
   get phase(): Phase {
     return this.leaving.phase(this.clock.now, {
@@ -419,6 +461,7 @@
         break;
       case 'pulse':
         this.neighbours.pulse(c.from, c.pulse);
+        this.rebuilding.heard(c.pulse);
         if (c.pulse.epoch > this.replica.epoch) out.push({ e: 'catch-up', epoch: c.pulse.epoch });
         break;
       case 'asked':
@@ -431,6 +474,7 @@
         this.log('info', 'reading state', { keys: c.keys });
         break;
       case 'loaded':
+        this.rebuilding.loaded(c.items, c.epoch);
         this.replica.load(c.items, c.epoch);
         this.neighbours.loaded(c.epoch);
         this.log('info', 'state loaded', { epoch: c.epoch, keys: c.items.length });
@@ -440,14 +484,19 @@
         this.replica.advance(c.changes, c.epoch);
         break;
       case 'committed':
+        if (c.outcome.r === 'ok') this.rebuilding.reached(c.outcome.epoch);
         this.committer.outcome(c.outcome, this.clock.now, out);
         // The others need not wait for their next watch.
         if (c.outcome.r === 'ok') this.tell(out, c.outcome.epoch);
         break;
       case 'epoch':
+        this.rebuilding.read(c.sentAt, c.epoch);
         this.view.read(c.sentAt, c.epoch);
         this.desk.epochRead(c.sentAt, c.epoch, out, this.view.vouchedFor);
         break;
+      case 'audited':
+        this.rebuilding.audited(c.from, c.items, c.more, c.epoch);
+        break;
       case 'leased':
         this.membership.leased(c.hold, this.clock.now);
         break;
--- a/src/core/desk.ts
+++ b/src/core/desk.ts
@@ -107,10 +107,14 @@
     );
   }
 
+  /** Whether it is known of every job whether it was accepted. */
+  sureOfAbsence: () => boolean = () => true;
+
   submit(rid: number, spec: JobSpec, out: Effect[]): void {
     if (this.replica.epoch < 0 || this.replica.types.length === 0) return this.later(rid, out);
     if (this.replica.levels.standsBy || this.replica.isSealedJob(spec.id)) return this.later(rid, out);
     if (this.replica.jobs.has(spec.id)) return this.query(rid, spec.id, out);
+    if (this.unsure(spec.id)) return this.later(rid, out);
     const bad = admissible(spec, this.replica.types, this.settings);
     // A job that was accepted must never get 422, so look once more whether it is known.
     if (bad !== null) return this.wait(rid, spec.id, { status: 422, body: { error: bad } }, out);
@@ -301,7 +305,8 @@
    */
   private unsure(id: string): boolean {
     return (
-      this.replica.sealed.has(jobKey(id)) || (this.replica.levels.standsBy && !this.replica.jobs.has(id))
+      this.replica.sealed.has(jobKey(id)) ||
+      ((this.replica.levels.standsBy || !this.sureOfAbsence()) && !this.replica.jobs.has(id))
     );
   }
 
@@ -324,6 +329,13 @@
     };
   }
 
+  /** Everybody who waits is told to come again: this process begins anew. */
+  abandon(out: Effect[]): void {
+    for (const w of this.waiters) this.later(w.rid, out);
+    for (const list of [this.submits, this.withdrawals, this.newcomers])
+      for (const { rids } of list.values()) for (const rid of rids) this.later(rid, out);
+  }
+
   /** Effects of the running step; set by the controller. */
   out: Effect[] = [];
 
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -1,6 +1,7 @@
 import type { Demand, Turned } from '../admission/index.js';
 import type { JobSpec } from '../model/job.js';
 import type { MachineType } from '../model/machine.js';
+import type { Legacy } from './memory.js';
 import type { Order, Report } from '../model/report.js';
 import type { Attributes } from '../policy/matching.js';
 import type { Question } from '../vouching/index.js';
@@ -18,6 +19,10 @@
   front: boolean;
   /** What it wants of the state service's writes, a second; null: it is of a program that does not say. */
   wants: Demand | null;
+  /** The incarnation that it follows; 0: none. */
+  inc: number;
+  /** How many jobs it knows. */
+  jobs: number;
 }
 
 /** What the adapters bring to the core. `rid` names a request that waits for its answer. */
@@ -44,6 +49,8 @@
   | { c: 'loaded'; items: Change[]; epoch: number }
   | { c: 'changes'; changes: Change[]; epoch: number }
   | { c: 'committed'; outcome: CommitOutcome }
+  /** A part of what is stored; `epoch` null: no answer. */
+  | { c: 'audited'; from: string; items: Change[]; more: boolean; epoch: number | null }
   | { c: 'epoch'; sentAt: number; epoch: number | null }
   | { c: 'leased'; hold: number | null }
   | { c: 'renewed'; hold: number; outcome: 'ok' | 'gone' | 'failed' }
@@ -85,6 +92,10 @@
   | { e: 'turned'; list: Turned[] }
   | { e: 'ask'; question: Question }
   | { e: 'vouch'; to: string; question: Question; known: Change[] }
+  /** Read some keys behind this one. */
+  | { e: 'audit'; from: string; keys: number }
+  /** The state service has lost data: this controller is to begin anew with what it knew. */
+  | { e: 'reborn'; legacy: Legacy }
   | { e: 'lease'; ttlMs: number }
   | { e: 'renew'; hold: number }
   | { e: 'unlease'; hold: number }
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -57,6 +57,8 @@
   private readonly absentSince = new Map<string, number>();
   private readonly heard = new Map<string, number>();
   hazardPerStep: () => number = () => 0;
+  /** Guards against returning a machine on which something runs that is not known (any more). */
+  mayReturn: () => boolean = () => true;
 
   constructor(
     private readonly settings: Settings,
@@ -378,7 +380,7 @@
     const hosts: string[] = [];
     for (const m of this.replica.machines.values()) {
       if (this.deleting.has(m.host) || this.writing.has(machineKey(m.host))) continue;
-      const idle = m.standing === 'free' && !this.settings.pool && this.surplus(m);
+      const idle = m.standing === 'free' && !this.settings.pool && this.mayReturn() && this.surplus(m);
       if (m.standing === 'dead' || idle) hosts.push(m.host);
       if (hosts.length >= mostPerDelete) break;
     }
@@ -502,7 +504,7 @@
       for (let left = Math.ceil(machines - 1e-6); left > 0; left -= mostPerRent) {
         if (!this.spend()) return;
         const request: RentRequest = {
-          name: `r-${this.replica.lead!.stamp}-${++this.count}`,
+          name: `r-${this.replica.tokenBase + this.replica.lead!.stamp}-${++this.count}`,
           type: slot.type.name,
           zone: slot.zone,
           spot: slot.spot,
--- a/src/core/keys.ts
+++ b/src/core/keys.ts
@@ -10,6 +10,9 @@
 export const levelKey = 'dp/level';
 export const membersKey = 'dp/members';
 export const wishKey = 'dp/wish';
+/** The incarnation of the state that this is, from level 4 on. */
+export const incPrefix = 'dp/inc/';
+export const incKey = (n: number): string => `${incPrefix}${n}`;
 /** Who may write how much, from level 3 on. */
 export const planKey = 'dp/plan';
 export const nodeKey = (member: string): string => `dp/node/${member}`;
@@ -27,6 +30,7 @@
   | { kind: Single }
   | { kind: 'node'; member: string }
   | { kind: 'shard'; shard: number }
+  | { kind: 'inc'; n: number }
   | { kind: 'block'; block: string }
   | { kind: 'machine'; host: string }
   | { kind: 'job'; id: string }
@@ -38,6 +42,7 @@
   if (a === undefined) return singles.includes(kind as Single) ? { kind: kind as Single } : null;
   if (kind === 'node') return { kind, member: a };
   if (kind === 'shard') return { kind, shard: Number(a) };
+  if (kind === 'inc') return { kind, n: Number(a) };
   if (kind === 'b') return { kind: 'block', block: a };
   if (kind === 'm') return { kind: 'machine', host: a };
   if (kind === 'j') return { kind: 'job', id: a };
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -99,8 +99,9 @@
     this.hold = null;
   }
 
-  tick(now: number, out: Effect[]): void {
-    if (this.replica.epoch < 0) return;
+  /** `acting`: while lost data is brought back nobody leads; `given`: this process has written what it knew of it. */
+  tick(now: number, out: Effect[], acting: boolean, given: boolean): void {
+    if (this.replica.epoch < 0 || !given) return;
     const { levels } = this.replica;
     const mine = this.replica.nodes.get(this.settings.member);
     if (!this.cleared) {
@@ -123,10 +124,10 @@
     if (this.leaving) return;
     if (!this.present)
       this.put(nodeKey(this.settings.member), nodeData(this.run, this.hold, levels.mine), this.hold);
-    else if (levels.standsBy) return;
+    else if (levels.standsBy || !acting) return;
     else if (this.replica.lead === null)
       this.put(this.replica.leadKey, { member: this.settings.member, run: this.run }, this.hold);
-    if (this.leading) this.lead(now);
+    if (this.leading && acting) this.lead(now);
   }
 
   leased(hold: number | null, now: number): void {
--- a/src/core/neighbours.ts
+++ b/src/core/neighbours.ts
@@ -56,6 +56,8 @@
   pulse(from: string, pulse: Pulse): void {
     const { now } = this.clock;
     this.vouching.heard(from, pulse.run, now);
+    // Whoever has just come waits to hear from everybody.
+    if (this.others.get(from)?.pulse.run !== pulse.run) this.pulsedAt = -Infinity;
     this.others.set(from, { pulse, at: now });
     this.told = { epoch: Math.max(this.told.epoch, pulse.epoch), at: now };
   }
@@ -67,6 +69,16 @@
         yield { member, busy: o.pulse.busy / 1000 };
   }
 
+  /** How many of the others have followed the state further than this. */
+  knowMore(epoch: number): number {
+    return [...this.others.values()].filter((o) => this.isFresh(o) && o.pulse.epoch > epoch).length;
+  }
+
+  /** Whether all of the others have been heard since this process began. */
+  get allHeard(): boolean {
+    return this.members.every((m) => this.others.has(m));
+  }
+
   runOf(member: string): string | undefined {
     return this.others.get(member)?.pulse.run;
   }
@@ -89,7 +101,15 @@
     const epoch = Math.max(this.replica.epoch, news ?? -1);
     out.push({
       e: 'pulse',
-      pulse: { epoch, run: this.run, busy: Math.round(busy * 1000), front, wants: wants() },
+      pulse: {
+        epoch,
+        run: this.run,
+        busy: Math.round(busy * 1000),
+        front,
+        wants: wants(),
+        inc: this.inc,
+        jobs: this.replica.jobKeys,
+      },
     });
   }
 
@@ -109,18 +129,25 @@
 
   // ---- vouching ----
 
+  private get inc(): number {
+    return this.replica.inc?.n ?? 0;
+  }
+
   ask(out: Effect[]): void {
-    const q = this.vouching.ask(this.clock.now, this.replica.epoch);
+    const q = this.vouching.ask(this.clock.now, this.replica.epoch, this.inc);
     if (q) out.push({ e: 'ask', question: q });
   }
 
   asked(from: string, question: Question, out: Effect[]): void {
+    // Guards against a view of what was before a loss being confirmed, or changed, by what is known since.
+    if (question.inc !== this.inc) return;
     const known = this.replica.epoch < 0 ? null : this.recent.since(question.epoch);
     if (known) out.push({ e: 'vouch', to: from, question, known });
   }
 
   /** The moment up to which the view is known to be complete by a peer's answer, ms, or null. */
   vouched(from: string, run: string, to: Question, known: Change[], completeAt: number): number | null {
+    if (to.inc !== this.inc) return null;
     for (const change of known) this.replica.apply(change);
     // Guards against a program that knows less than the level in force: it cannot hand over what it does not understand.
     const node = this.replica.nodes.get(from);
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -3,6 +3,7 @@
 import { unaware, type Ability, type Wish } from '../levels/index.js';
 import type { JobSpec, JobState } from '../model/job.js';
 import type { MachineRecord, MachineType } from '../model/machine.js';
+import type { Incarnation, Stage } from '../rebuild/index.js';
 
 /**
  * The durable records and their stored form. `w` in a stored value names the write that made it, so that
@@ -294,6 +295,12 @@
   return { number: d.n, parts: new Map(parts) };
 }
 
+export const incData = (by: string, run: string, stage: Stage): Data => ({ by, run, stage });
+export const readInc = (n: number, data: unknown, stamp: number): Incarnation => {
+  const { by, run, stage } = data as { by: string; run: string; stage: Stage };
+  return { n, by, run, stage, stamp };
+};
+
 /** Which teams are at home in which shard. */
 export const teamsData = (shards: string[][]): Data => ({ shards });
 export const readTeams = (data: unknown): string[][] => (data as { shards: string[][] }).shards;
--- a/src/core/replica.ts
+++ b/src/core/replica.ts
@@ -2,6 +2,7 @@
 import type { Plan } from '../admission/index.js';
 import { firstLevel, noWish, type Ability, type Levels, type Wish } from '../levels/index.js';
 import type { MachineRecord, MachineType } from '../model/machine.js';
+import { attemptBase, tokenBase, type Incarnation } from '../rebuild/index.js';
 import type { Change } from '../wire/store.js';
 import {
   chiefKey,
@@ -19,6 +20,7 @@
 import {
   readBlock,
   readChunk,
+  readInc,
   readJob,
   readMachine,
   readMembers,
@@ -48,6 +50,7 @@
   /** A record that is not acted on, and why; null: it can be read again. */
   sealed(key: string, why: string | null): void;
   levelChanged(): void;
+  incarnationChanged(): void;
 }
 
 interface Lead {
@@ -85,6 +88,8 @@
   /** What members were last seen with, and the leader's answer to the operators. */
   members: { seen: Map<string, Ability>; note: LevelNote | null } = { seen: new Map(), note: null };
   wish: Wish = noWish;
+  /** Incarnations that the state names: one, but for the moments in which another is opened. */
+  readonly incs = new Map<number, Incarnation>();
   /** Who may write how much; null: there is no plan. */
   plan: Plan | null = null;
   teams: string[][] = [];
@@ -99,6 +104,8 @@
   /** Which block a machine came with, and the revision at which it did. */
   private readonly origins = new Map<string, { block: string; stamp: number }>();
   readonly jobs = new Map<string, JobRecord>();
+  /** How many jobs are recorded, whether their records can be read or not. */
+  jobKeys = 0;
   readonly open = new Set<string>();
   readonly chunks = new Map<string, Map<number, ChunkRecord>>();
   private readonly stamps = new Map<string, number>();
@@ -118,6 +125,26 @@
     readonly levels: Levels,
   ) {}
 
+  /** The incarnation that this is; null: the state names none. */
+  get inc(): Incarnation | null {
+    let last: Incarnation | null = null;
+    for (const i of this.incs.values()) if (!last || i.n > last.n) last = i;
+    return last;
+  }
+
+  get tokenBase(): number {
+    return tokenBase(this.inc?.n ?? 1);
+  }
+
+  get attemptBase(): number {
+    return attemptBase(this.inc?.n ?? 1);
+  }
+
+  /** What is known of every key: its stamp. */
+  *known(): Generator<{ key: string; stamp: number }> {
+    for (const [key, stamp] of this.stamps) yield { key, stamp };
+  }
+
   get leadKey(): string {
     return this.levels.has('barred-lead') ? chiefKey : leadKey;
   }
@@ -201,13 +228,16 @@
     if ((this.stamps.get(key) ?? -1) >= stamp || (this.gone.get(key) ?? -1) >= stamp) return;
     const ref = readKey(key);
     if (ref === null) return;
+    const had = this.stamps.has(key);
     if (data === undefined || data === null) {
+      if (had && ref.kind === 'job') this.jobKeys--;
       this.stamps.delete(key);
       this.writers.delete(key);
       this.unknown.delete(key);
       this.unseal(ref, key);
       if (stamp > this.epoch) this.gone.set(key, stamp);
     } else {
+      if (!had && ref.kind === 'job') this.jobKeys++;
       this.stamps.set(key, stamp);
       const w = (data as Stored).w;
       if (typeof w === 'string') this.writers.set(key, w);
@@ -245,6 +275,11 @@
       case 'wish':
         this.wish = here ? readWish(data, stamp) : noWish;
         break;
+      case 'inc':
+        if (here) this.incs.set(ref.n, readInc(ref.n, data, stamp));
+        else this.incs.delete(ref.n);
+        this.listener.incarnationChanged();
+        break;
       case 'plan':
         this.plan = here ? readPlan(data) : null;
         break;
@@ -396,9 +431,10 @@
   /** The member that answers for a machine, with the token that its answers carry. */
   custodian(m: Machine): { member: string; run: string; token: number } | null {
     const holder = m.shard >= 0 ? this.shards.get(m.shard) : undefined;
-    if (holder) return { member: holder.owner, run: holder.run, token: Math.max(m.stamp, holder.stamp) };
+    const of = (stamp: number): number => this.tokenBase + Math.max(m.stamp, stamp);
+    if (holder) return { member: holder.owner, run: holder.run, token: of(holder.stamp) };
     if (m.shard < 0 && this.lead)
-      return { member: this.lead.member, run: this.lead.run, token: Math.max(m.stamp, this.lead.stamp) };
+      return { member: this.lead.member, run: this.lead.run, token: of(this.lead.stamp) };
     return null;
   }
 
--- a/src/core/reports.ts
+++ b/src/core/reports.ts
@@ -19,6 +19,8 @@
 export interface ReportsHost {
   member: string;
   run: string;
+  /** A worker has seen this token. */
+  seen(token: number): void;
   /** Whether the view is new enough for workers to be answered from it. */
   fresh(): boolean;
   leading(): boolean;
@@ -68,6 +70,7 @@
       void out.push({ e: 'answer', rid, status, body, retryAfterS });
     // Guards against acting on an old view: a cancellation seen by users could be missed here, and the
     // answer would keep the task alive.
+    this.host.seen(report.token);
     if (!this.host.fresh() || this.replica.levels.standsBy) return answer(503, {}, 1);
     const m = this.replica.machines.get(report.host);
     if (!m) {
--- a/src/core/upgrade.ts
+++ b/src/core/upgrade.ts
@@ -3,6 +3,7 @@
 import type { Write } from '../wire/store.js';
 import { Rank, type Committer } from './committer.js';
 import type { Clock, Log } from './effects.js';
+import { barred } from './memory.js';
 import { chiefKey, kindsKey, leadKey, levelKey, membersKey, nodeKey, typesKey, wishKey } from './keys.js';
 import type { Membership } from './membership.js';
 import { levelData, membersData, typesData, type LevelNote } from './records.js';
@@ -11,9 +12,6 @@
 /** Looks, in a state lease. */
 const looksPerLease = 8;
 
-/** Leadership as programs that know no levels see it from level 2 on: taken, for ever, by nobody. */
-const barred = { member: 'level-2', run: 'barred' };
-
 const textOf = (d: Decision): string =>
   JSON.stringify(d, (_, x: unknown) => (x instanceof Map ? [...(x as Map<string, unknown>)] : x));
 
--- a/src/formats/kinds.ts
+++ b/src/formats/kinds.ts
@@ -12,7 +12,8 @@
   | 'level'
   | 'members'
   | 'wish'
-  | 'plan';
+  | 'plan'
+  | 'inc';
 
 export type Data = Record<string, unknown>;
 
--- a/src/formats/registry.ts
+++ b/src/formats/registry.ts
@@ -1,6 +1,6 @@
 import type { Data, Format, Kind } from './kinds.js';
 import { block, chunk, job, machine } from './often.js';
-import { lead, levelRecord, members, node, plan, shard, teams, types, wish } from './seldom.js';
+import { inc, lead, levelRecord, members, node, plan, shard, teams, types, wish } from './seldom.js';
 
 /**
  * Every format of every kind of durable record, oldest first: the first has number 1. What a program cannot read any more
@@ -22,6 +22,7 @@
   members,
   wish,
   plan,
+  inc,
 };
 
 export type Verdict =
--- a/src/formats/seldom.ts
+++ b/src/formats/seldom.ts
@@ -50,6 +50,8 @@
     note: v.optional(v.object({ wish: count, text })),
   }),
 ];
+/** An incarnation of the state: its number is in its key. */
+export const inc = [format({ by: text, run: text, stage: v.picklist(['open', 'serving', 'whole']) })];
 /** By member: its part of the writes, that of users, the most it may be using, and how team and class take turns there. */
 export const plan = [
   format({
--- a/src/intake.ts
+++ b/src/intake.ts
@@ -65,6 +65,11 @@
     return this.lanes.fill('submit');
   }
 
+  /** Answers to what was asked before count no more; requests wait on. */
+  forget(): void {
+    this.inner = [];
+  }
+
   take(now: number): { commands: Command[]; answers: Effect[] } {
     const { items, expired } = this.lanes.take(perStep, now);
     const commands = this.inner.concat(items);
--- a/src/levels/levels.ts
+++ b/src/levels/levels.ts
@@ -12,7 +12,7 @@
 }
 
 /** The newest level that this program knows. */
-export const newestLevel = 3;
+export const newestLevel = 4;
 
 /** Of a program whose presence tells nothing: it was written before there were levels. */
 export const unaware: Ability = { program: 'before levels', least: 1, most: 1, features: [], formats: {} };
@@ -25,6 +25,8 @@
   'barred-lead': { level: 2, stays: true },
   /** Who may write how much is a stored plan; nothing else that is stored is new. */
   'admission-plan': { level: 3, stays: false },
+  /** The state says which incarnation it is, and every write is on condition that it still is that one. */
+  incarnations: { level: 4, stays: true },
 } as const satisfies Record<
   string,
   { level: number; /** Until the level is left, also while it is lowered. */ stays: boolean }
--- a/src/peers/frames.ts
+++ b/src/peers/frames.ts
@@ -88,6 +88,9 @@
         /** The plan that it follows. */
         follows: { type: 'uint32', id: 9 },
         kinds: { rule: 'repeated', type: 'Kind', id: 10 },
+        /** The incarnation of the state that it follows. */
+        inc: { type: 'uint32', id: 11 },
+        jobs: { type: 'uint32', id: 12 },
       },
     },
     /** What users of a team and class want there, a second. */
@@ -115,6 +118,8 @@
         nonce: { type: 'uint32', id: 1 },
         epoch: { type: 'double', id: 2 },
         run: { type: 'string', id: 3 },
+        /** The incarnation that the sender follows. */
+        inc: { type: 'uint32', id: 4 },
       },
     },
     /** All of it, as JSON. */
@@ -208,6 +213,8 @@
   return out;
 }
 
+const questionIn = ({ nonce, epoch, run, inc }: Question): Question => ({ nonce, epoch, run, inc });
+
 function decodeFrame(body: Uint8Array): Frame | null {
   const f = type.decode(body) as unknown as Partial<Record<string, unknown>>;
   if (f['hello']) {
@@ -224,7 +231,7 @@
   }
   if (f['pulse']) {
     const pulse = f['pulse'] as Omit<Pulse, 'wants'> & Demand & { says: boolean; behind: number };
-    const { epoch, run, busy, front, tasks, users, behind, follows } = pulse;
+    const { epoch, run, busy, front, tasks, users, behind, follows, inc, jobs } = pulse;
     const kinds = pulse.kinds.map(({ team, class: c, weight, want }: KindWant) => ({
       team,
       class: c,
@@ -232,19 +239,18 @@
       want,
     }));
     const wants = pulse.says ? { tasks, users, behindS: behind / 10, follows, kinds } : null;
-    return { pulse: { epoch, run, busy, front, wants } };
+    return { pulse: { epoch, run, busy, front, wants, inc, jobs } };
   }
   if (f['turned']) {
     const { list } = f['turned'] as { list: Turned[] };
     return { turned: { list: list.map(({ id, team, class: c, ageMs }) => ({ id, team, class: c, ageMs })) } };
   }
   if (f['ask']) {
-    const { nonce, epoch, run } = f['ask'] as Question;
-    return { ask: { nonce, epoch, run } };
+    return { ask: questionIn(f['ask'] as Question) };
   }
   if (f['vouch']) {
     const { ask, run, known } = f['vouch'] as { ask: Question | null; run: string; known: string };
-    return ask ? { vouch: { ask: { nonce: ask.nonce, epoch: ask.epoch, run: ask.run }, run, known } } : null;
+    return ask ? { vouch: { ask: questionIn(ask), run, known } } : null;
   }
   return null;
 }
--- /dev/null
+++ b/src/rebuild/incarnation.ts
@@ -0,0 +1,30 @@
+/**
+ * An incarnation of the state: from one loss of data to the next. Tokens, attempts and names of rentals are made from revisions
+ * and counters that a loss sets back; they go on above all from before because each incarnation has a range of its own.
+ */
+export interface Incarnation {
+  /** From 1. */
+  n: number;
+  /** Who opened it. */
+  by: string;
+  run: string;
+  stage: Stage;
+  stamp: number;
+}
+
+/**
+ * `open`: what was known is being written again, nobody acts. `serving`: the fleet and the jobs that are not over are there, so
+ * work goes on; who is asked about a job that is not there says 503. `whole`: all is there.
+ */
+export type Stage = 'open' | 'serving' | 'whole';
+export const stages: readonly Stage[] = ['open', 'serving', 'whole'];
+
+/** Ranges: exact in JSON numbers (below 2^53) for 2^17 incarnations of 2^36 revisions, and of 2^20 attempts at a task. */
+const tokenRange = 2 ** 36;
+const attemptRange = 2 ** 20;
+
+export const tokenBase = (n: number): number => Math.max(0, n - 1) * tokenRange;
+export const attemptBase = (n: number): number => Math.max(0, n - 1) * attemptRange;
+
+/** The incarnation that a token came from. */
+export const incarnationOf = (token: number): number => Math.floor(token / tokenRange) + 1;
--- /dev/null
+++ b/src/rebuild/index.ts
@@ -0,0 +1,10 @@
+export {
+  attemptBase,
+  incarnationOf,
+  stages,
+  tokenBase,
+  type Incarnation,
+  type Stage,
+} from './incarnation.js';
+export { merge, same } from './merge.js';
+export { audit, Witness, type Item } from './witness.js';
--- a/src/service.ts
+++ b/src/service.ts
@@ -10,6 +10,7 @@
 import { limitsOf, type Limits } from './limits/index.js';
 import { Memory } from './memory.js';
 import type { Mesh } from './peers/mesh.js';
+import type { Legacy } from './core/memory.js';
 import type { Frame } from './peers/frames.js';
 import type { Matcher } from './policy/matching.js';
 import { Attempts, retryPolicies, seeded, type Random, type RetryPolicies } from './retry/index.js';
@@ -36,9 +37,10 @@
 
 /** Wires the core to the world: commands are queued and worked off in batches, effects carried out. */
 export class Service {
-  readonly controller: Controller;
+  controller: Controller;
   private readonly store: StateService;
-  private readonly run: string;
+  private run: string;
+  private rebirths = 0;
   private readonly random: Random;
   private readonly retry: RetryPolicies;
   private readonly limits: Limits;
@@ -59,11 +61,11 @@
 
   constructor(
     private readonly settings: Settings,
-    operators: Operators,
+    private readonly operators: Operators,
     private readonly log: Log,
-    parts: Partial<Parts> = {},
+    private readonly parts: Partial<Parts> = {},
     /** Which program this is. */
-    program = '?',
+    private readonly program = '?',
   ) {
     const seed = randomBytes(4);
     this.run = seed.toString('hex');
@@ -71,15 +73,7 @@
     const stateLeaseMs = settings.workers.lease_s * 1000 * operators['node-lease-ratio'];
     this.retry = retryPolicies({ ...settings, stateLeaseMs });
     this.limits = limitsOf(settings);
-    this.controller = new Controller(
-      settings,
-      operators,
-      this.run,
-      this.random,
-      log,
-      parts.matcher ?? null,
-      program,
-    );
+    this.controller = this.make(null);
     this.store = parts.state ?? new Store(settings.endpoints.state, this.retry.state.deadlineMs);
     this.cloud = parts.cloud ?? new Cloud(settings.endpoints.cloud, this.retry.cloud.deadlineMs);
     this.workers = new Workers(this.retry.workers.deadlineMs, this.limits.sockets.orders);
@@ -107,6 +101,19 @@
     );
   }
 
+  private make(legacy: Legacy | null): Controller {
+    const { settings, operators, run, random, log, parts, program } = this;
+    return new Controller(settings, operators, run, random, log, parts.matcher ?? null, program, legacy);
+  }
+
+  /** The state service has lost data: the core begins anew with what it knew, as another process would. */
+  private rebear(legacy: Legacy): void {
+    this.run = `${this.run.split('.')[0]}.${++this.rebirths}`;
+    this.intake.forget();
+    this.follower.restart();
+    this.controller = this.make(legacy);
+  }
+
   async start(): Promise<void> {
     const { host, port } = splitAddr(this.settings.publicAddr);
     await new Promise<void>((resolve, reject) => {
@@ -224,6 +231,9 @@
   }
 
   private carryOut(e: Effect): void {
+    const { rebirths } = this;
+    // Guards against answers to what was asked for before this process began anew.
+    const back = (c: Command): void => void (rebirths === this.rebirths && this.push(c));
     switch (e.e) {
       case 'relay':
         if (!this.mesh?.send(e.to, { relay: { id: e.rid, report: e.report } }))
@@ -255,7 +265,7 @@
         break;
       }
       case 'commit':
-        void this.store.commit(e.txn).then((outcome) => this.push({ c: 'committed', outcome }));
+        void this.store.commit(e.txn).then((outcome) => back({ c: 'committed', outcome }));
         break;
       case 'epoch':
         this.follower.ask();
@@ -263,29 +273,38 @@
       case 'catch-up':
         this.follower.hurry(e.epoch);
         break;
+      case 'audit': {
+        const { from, keys } = e;
+        void this.store.part(from, keys).then((page) => {
+          const { items, more, epoch } = page ?? { items: [], more: false, epoch: null };
+          back({ c: 'audited', from, items, more, epoch });
+        });
+        break;
+      }
+      case 'reborn':
+        this.rebear(e.legacy);
+        break;
       case 'lease':
-        void this.store.lease(e.ttlMs).then((hold) => this.push({ c: 'leased', hold }));
+        void this.store.lease(e.ttlMs).then((hold) => back({ c: 'leased', hold }));
         break;
       case 'renew':
-        void this.store.renew(e.hold).then((outcome) => this.push({ c: 'renewed', hold: e.hold, outcome }));
+        void this.store.renew(e.hold).then((outcome) => back({ c: 'renewed', hold: e.hold, outcome }));
         break;
       case 'unlease':
         void this.store.unlease(e.hold);
         break;
       case 'types':
-        void this.cloud.types().then((types) => this.push({ c: 'types', types }));
+        void this.cloud.types().then((types) => back({ c: 'types', types }));
         break;
       case 'rent':
-        void this.cloud
-          .rent(e.request)
-          .then((outcome) => this.push({ c: 'rented', request: e.request, outcome }));
+        void this.cloud.rent(e.request).then((outcome) => back({ c: 'rented', request: e.request, outcome }));
         break;
       case 'delete':
-        void this.cloud.delete(e.hosts).then((ok) => this.push({ c: 'deleted', hosts: e.hosts, ok }));
+        void this.cloud.delete(e.hosts).then((ok) => back({ c: 'deleted', hosts: e.hosts, ok }));
         break;
       case 'list': {
         const askedAt = performance.now();
-        void this.cloud.list().then((machines) => this.push({ c: 'listed', machines, askedAt }));
+        void this.cloud.list().then((machines) => back({ c: 'listed', machines, askedAt }));
         break;
       }
       case 'order':
--- a/src/state/follower.ts
+++ b/src/state/follower.ts
@@ -35,6 +35,7 @@
   private timer: NodeJS.Timeout | null = null;
   private wake: (() => void) | null = null;
   private stopped = false;
+  private restarts = 0;
 
   constructor(
     private readonly source: Source,
@@ -61,6 +62,14 @@
     if (this.from >= 0) this.schedule();
   }
 
+  /** Forgets what it has followed: the state is another one. What was asked for before counts no more. */
+  restart(): void {
+    this.restarts++;
+    this.from = this.wanted = -1;
+    this.asked = false;
+    this.wake?.();
+  }
+
   stop(): void {
     this.stopped = true;
     if (this.timer) clearTimeout(this.timer);
@@ -82,11 +91,13 @@
 
   /** Reads everything, page by page. A page that does not come is asked for again: what was read stays good. */
   private async load(): Promise<void> {
+    const { restarts } = this;
     const items: Change[] = [];
     let epoch = -1;
     let left = this.pace.burst;
     for (let from = ''; !this.stopped;) {
       const page = await this.source.page(from);
+      if (restarts !== this.restarts) return;
       if (page === null || page === 'busy') {
         this.attempts.fail(this.now());
         if (page === null) this.events.read(this.now(), null);
@@ -103,7 +114,7 @@
       from = page.items[page.items.length - 1].key;
       if (--left <= 0) await this.sleep(this.pace.pageMs);
     }
-    if (this.stopped) return;
+    if (this.stopped || restarts !== this.restarts) return;
     this.from = epoch;
     this.events.loaded(items, epoch);
   }
@@ -131,7 +142,9 @@
 
   private async take(blockMs: number): Promise<void> {
     const sentAt = this.now();
+    const { restarts } = this;
     const r = await this.source.changes(this.from, blockMs);
+    if (restarts !== this.restarts) return;
     if (r === 'old') this.from = -1;
     else if (r === 'busy') this.asked = true;
     else if (r === null) {
--- a/src/state/service.ts
+++ b/src/state/service.ts
@@ -20,6 +20,8 @@
 
 /** The state service as the core needs it, wherever it is. */
 export interface StateService extends Source {
+  /** So many keys behind this one; null: no answer. */
+  part(from: string, keys: number): Promise<Page | null>;
   commit(txn: Txn): Promise<CommitOutcome>;
   /** null: no answer. */
   lease(ttlMs: number): Promise<number | null>;
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -72,6 +72,11 @@
     return r?.status === 200 ? parseItems(r.body) : null;
   }
 
+  async part(from: string, keys: number): Promise<Page | null> {
+    const r = await this.calls.call('GET', scanPath(prefix, from, keys), null, this.timeoutMs);
+    return r?.status === 200 ? parseItems(r.body) : null;
+  }
+
   /** All keys under a prefix of somebody else's; null: no answer. */
   async list(starts: string): Promise<Change[] | null> {
     const all: Change[] = [];
--- a/src/store/embedded.ts
+++ b/src/store/embedded.ts
@@ -31,6 +31,10 @@
     return this.engine.broken ? null : this.engine.scan(prefix, from, pageItems);
   }
 
+  async part(from: string, keys: number): Promise<Page | null> {
+    return this.engine.broken ? null : this.engine.scan(prefix, from, keys);
+  }
+
   /** All keys under a prefix of somebody else's. */
   async list(starts: string): Promise<Change[] | null> {
     const all: Change[] = [];
--- a/src/vouching/vouching.ts
+++ b/src/vouching/vouching.ts
@@ -4,6 +4,8 @@
   run: string;
   nonce: number;
   epoch: number;
+  /** The incarnation that it follows; 0: none. What is known of another says nothing. */
+  inc: number;
 }
 
 interface Peer {
@@ -41,13 +43,13 @@
   }
 
   /** A new question, if it is time for one. */
-  ask(now: number, epoch: number): Question | null {
+  ask(now: number, epoch: number, inc = 0): Question | null {
     if (now - this.askedAt < this.everyMs) return null;
     this.askedAt = now;
     this.asked.push({ nonce: ++this.nonce, at: now });
     // Answers to older ones prove too little to be worth keeping them.
     this.asked = this.asked.slice(-mostAsked);
-    return { run: this.run, nonce: this.nonce, epoch };
+    return { run: this.run, nonce: this.nonce, epoch, inc };
   }
 
   /**
--- a/test/levelcli.test.ts
+++ b/test/levelcli.test.ts
@@ -67,7 +67,7 @@
       /^level 2$/m,
       /^held at 2$/m,
       /^gone for good: n1$/m,
-      /^n0 .*levels 1 to 3, here$/m,
+      /^n0 .*levels 1 to 4, here$/m,
       /^n1 .*before levels.*not here$/m,
     ])
       assert.match(shown, line);
--- a/test/levels.test.ts
+++ b/test/levels.test.ts
@@ -128,7 +128,7 @@
 
 test('features: one place tells what is in force; who is older than that stands by', () => {
   const levels = new Levels(abilityOf('x'));
-  assert.deepEqual(levels.mine.features, ['small-jobs', 'barred-lead', 'admission-plan']);
+  assert.deepEqual(levels.mine.features, ['small-jobs', 'barred-lead', 'admission-plan', 'incarnations']);
   assert.deepEqual(levels.mine.formats, { job: 2 });
   assert.equal(levels.has('small-jobs'), false);
   levels.state = { level: 2, write: 2, stamp: 1 };
@@ -138,7 +138,7 @@
   assert.equal(levels.standsBy, false);
   levels.state = { level: 3, write: 3, stamp: 3 };
   assert.ok(levels.has('admission-plan') && !levels.standsBy);
-  levels.state = { level: 4, write: 4, stamp: 4 };
+  levels.state = { level: 5, write: 5, stamp: 4 };
   assert.equal(levels.standsBy, true);
   const held = new Levels(abilityOf('x', 1));
   assert.deepEqual(held.mine.features, []);
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -17,6 +17,7 @@
   type Member,
   type Plan,
 } from '../src/admission/index.js';
+import { newestLevel } from '../src/levels/index.js';
 import { planData, readPlan } from '../src/core/records.js';
 import { formats, inspect } from '../src/formats/index.js';
 import { Flood, flooding, floodable } from './flood.js';
@@ -183,7 +184,7 @@
 
 function floodWorld(): { w: World; users: Flood } {
   const w = floodable();
-  assert.equal(levelOf(w).level, 3);
+  assert.equal(levelOf(w).level, newestLevel);
   return { w, users: new Flood(w, flooding) };
 }
 
@@ -281,7 +282,7 @@
     w.play(5);
     assert.ok(w.nodes.every((n) => n.controller['planning'].follows === 0));
     wish(w, {});
-    assert.ok(w.playUntil(() => levelOf(w).level === 3, 20));
+    assert.ok(w.playUntil(() => levelOf(w).level === newestLevel, 20));
     w.play(100);
     assert.ok(w.nodes.every((n) => n.controller['planning'].follows === (planOf(w).data as { n: number }).n));
     served(users, 0.9);
--- /dev/null
+++ b/test/rebuild.test.ts
@@ -0,0 +1,288 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { attemptBase, audit, incarnationOf, merge, tokenBase, Witness } from '../src/rebuild/index.js';
+import {
+  chunkData,
+  jobCancelledData,
+  jobData,
+  jobDoneData,
+  wholeJobData,
+  Bits,
+  machineData,
+} from '../src/core/records.js';
+import { ownerOf } from './rolls.js';
+import { Traffic } from './traffic.js';
+import { spec, World, type Node } from './world.js';
+
+test('ranges: tokens and attempts of an incarnation are above all from before, and exact', () => {
+  assert.equal(tokenBase(1), 0);
+  assert.ok(tokenBase(2) > 2 ** 35 && attemptBase(2) > 10 ** 6);
+  assert.ok(Number.isSafeInteger(tokenBase(2 ** 17) + 2 ** 36 - 1));
+  assert.deepEqual(
+    [incarnationOf(5), incarnationOf(tokenBase(3)), incarnationOf(tokenBase(3) + 9)],
+    [1, 3, 3],
+  );
+});
+
+test('a loss is told from a lagging answer, a lease that ended and a legal deletion', () => {
+  const w = new Witness();
+  w.reached(10, 100);
+  w.reached(20, 200);
+  // Sent before 20 was known: an answer that lags.
+  assert.equal(w.read(150, 15), null);
+  assert.equal(w.read(200, 12), null);
+  assert.match(w.read(201, 19)!, /revision 19 after 20/);
+  // What failed is explained by a change that came, and not by none.
+  w.failed('dp/a', 7, 30);
+  assert.equal(
+    w.settle(29, () => 7),
+    null,
+  );
+  assert.equal(
+    w.settle(30, () => 28),
+    null,
+  );
+  w.failed('dp/a', 7, 30);
+  assert.match(
+    w.settle(31, () => 7)!,
+    /dp\/a is not at 7/,
+  );
+  // A token of a revision that is still to be seen, and one of a revision that never comes.
+  assert.equal(w.token(25, 1, 300), null);
+  assert.equal(w.read(290, 22), null);
+  assert.match(w.read(301, 24)!, /worker has seen revision 25/);
+  assert.match(w.token(tokenBase(4) + 1, 2, 300)!, /later incarnation/);
+  const mine = [
+    { key: 'dp/a', stamp: 3 },
+    { key: 'dp/b', stamp: 9 },
+    { key: 'dp/c', stamp: 30 },
+    { key: 'dp/d', stamp: 4 },
+  ];
+  const page = (items: typeof mine, to: string | null = 'dp/c') => ({ items, from: '', to, epoch: 10 });
+  assert.equal(audit(page([mine[0], mine[1]]), mine), null);
+  assert.match(audit(page([mine[1]]), mine)!, /dp\/a is gone/);
+  assert.match(audit(page([mine[0], { key: 'dp/b', stamp: 8 }]), mine)!, /dp\/b is at 8 after 9/);
+  assert.match(audit(page([mine[0], mine[1]], null), mine)!, /dp\/d is gone/);
+});
+
+test('what several know of a record is put together so that no rule can be broken', () => {
+  const job = spec('req-1', { tasks: 3 });
+  const tasks = (last: number, done: number[], placed: [number, number, string][]) => {
+    const bits = new Bits();
+    done.forEach((i) => bits.add(i));
+    const p = placed.map(([index, attempt, host]) => ({ index, attempt, host }));
+    return chunkData({ last, done: bits, placed: p, failed: [] });
+  };
+  const open = jobData(job, 5);
+  const done = jobDoneData(5, 3);
+  const cancelled = jobCancelledData(5, job);
+  assert.deepEqual(
+    [merge('job', undefined, open), merge('job', open, done), merge('job', done, open)],
+    [open, done, done],
+  );
+  assert.deepEqual([merge('job', cancelled, open), merge('job', open, cancelled)], [cancelled, cancelled]);
+  // A cancelled job goes on telling what may run of it.
+  const whole = wholeJobData(job, 5, tasks(2, [0], [[1, 2, 'm1']]));
+  assert.deepEqual(merge('job', whole, cancelled)['t'], whole['t']);
+  assert.equal(merge('job', whole, cancelled)['s'], 'cancelled');
+  const both = merge('job', open, whole);
+  assert.deepEqual([both['v'], both['t'], both['spec']], [2, whole['t'], undefined]);
+  // Of two places of a task the later attempt counts, none of a task that is done, and numbers go on.
+  const c = merge(
+    'chunk',
+    tasks(
+      3,
+      [],
+      [
+        [0, 1, 'm1'],
+        [1, 3, 'm2'],
+      ],
+    ),
+    tasks(
+      4,
+      [2],
+      [
+        [1, 2, 'm3'],
+        [2, 4, 'm4'],
+      ],
+    ),
+  );
+  assert.deepEqual(
+    c,
+    tasks(
+      4,
+      [2],
+      [
+        [0, 1, 'm1'],
+        [1, 3, 'm2'],
+      ],
+    ),
+  );
+  const machine = { host: 'm', type: 'box', zone: 'north', spot: false, shard: 0, since: 1 };
+  const dead = machineData({ ...machine, standing: 'dead' });
+  assert.deepEqual(merge('machine', machineData({ ...machine, standing: 'use' }), dead), dead);
+});
+
+type Kept = ReturnType<World['state']['copy']>;
+
+/** How the state comes back, from a copy of what it was some time ago. */
+const losses: Record<string, (w: World, ago: Kept) => void> = {
+  wiped: (w) => w.state.lose([], 1),
+  'wiped, at a higher revision': (w) => w.state.lose([], w.state.epoch + 1000),
+  'an older copy': (w, ago) => w.state.lose(ago.keys, ago.epoch),
+  'an older copy, at a higher revision': (w, ago) => w.state.lose(ago.keys, w.state.epoch + 500),
+  'every second record gone': (w) =>
+    w.state.lose(
+      [...w.state.keys].filter((_, i) => i % 2 === 0),
+      w.state.epoch,
+    ),
+};
+for (const kind of ['node', 'shard', 'teams', 'kinds', 'b', 'm', 'j', 't', 'level', 'inc'])
+  losses[`all records of ${kind} gone`] = (w) =>
+    w.state.lose(
+      [...w.state.keys].filter(([key]) => key.split('/')[1] !== kind),
+      w.state.epoch,
+    );
+
+/** Who is started anew while the service is away. */
+const restarts: Record<string, (w: World) => Node[]> = {
+  nobody: () => [],
+  'the owner': (w) => [ownerOf(w)!],
+  'all but one': (w) => w.nodes.filter((n) => n !== ownerOf(w)),
+};
+
+function served(seed: number): { w: World; users: Traffic } {
+  const w = new World(3, {}, seed);
+  w.capacity = 30;
+  w.play(6);
+  const users = new Traffic(w, 900, (n) =>
+    n % 5 === 0 ? { tasks: 3, shape: 'gang', cpus: 2 } : n % 4 === 0 ? { tasks: 18 } : { tasks: 2 },
+  );
+  w.play(25);
+  return { w, users };
+}
+
+/** The service is away, comes back with less, and everybody has to get their answer all the same. */
+function loses(
+  w: World,
+  users: Traffic,
+  lose: (w: World, ago: Kept) => void,
+  who: (w: World) => Node[],
+  agoS = 4,
+  lost = /^nothing$/,
+): void {
+  const broken = (): string[] => w.broken.filter((b) => !lost.test(b));
+  const ago = w.state.copy();
+  w.play(agoS);
+  const restarted = who(w);
+  w.state.down = true;
+  for (const n of restarted) n.alive = false;
+  w.play(3);
+  lose(w, ago);
+  w.state.down = false;
+  for (const n of restarted) n.boot();
+  w.play(60);
+  assert.deepEqual(broken(), []);
+  users.stop();
+  const over = w.playUntil(() => users.over, 300);
+  assert.deepEqual(broken(), []);
+  const open = [...users.jobs.keys()].filter((id) => !['done', 'aborted'].includes(users.told.get(id) ?? ''));
+  assert.ok(over, `not over: ${open.map((id) => `${id} ${users.told.get(id)}`).join(', ')}`);
+}
+
+for (const [what, lose] of Object.entries(losses))
+  for (const [who, restart] of Object.entries(restarts))
+    test(`rebuild: ${what}; ${who} started anew`, () => {
+      const { w, users } = served(3);
+      loses(w, users, lose, restart);
+    });
+
+test('rebuild: two losses, the second in mid-rebuild; the one that rebuilds is killed', () => {
+  const { w, users } = served(5);
+  w.after(9000, () =>
+    w.state.lose(
+      [...w.state.keys].filter((_, i) => i % 3 > 0),
+      w.state.epoch,
+    ),
+  );
+  w.after(12_000, () => {
+    const by = [...w.state.keys.values()].find((k) => k.key.startsWith('dp/inc/'))?.data as
+      { by: string } | undefined;
+    const n = w.nodes.find((x) => x.member === by?.by);
+    if (!n) return;
+    n.alive = false;
+    w.after(5000, () => n.boot());
+  });
+  loses(w, users, losses['wiped'], restarts['nobody']);
+});
+
+test('rebuild: a controller that stood still with the old memory wakes after a minute, and late transactions come', () => {
+  const { w, users } = served(6);
+  const still = w.nodes.find((n) => n !== ownerOf(w))!;
+  still.holdBack = true;
+  w.play(2);
+  still.frozen = true;
+  loses(
+    w,
+    users,
+    (x, ago) => {
+      losses['an older copy'](x, ago);
+      x.after(20_000, () => x.heldBack.forEach((txn) => assert.notEqual(x.state.commit(txn).r, 'ok')));
+      x.after(55_000, () => {
+        still.holdBack = false;
+        still.frozen = false;
+      });
+    },
+    restarts['nobody'],
+  );
+});
+
+test('rebuild: everything is gone, and workers have seen tokens from before: they are led again', () => {
+  const { w, users } = served(7);
+  users.stop();
+  // Much has happened: revisions, and tokens with them, are high.
+  w.state.epoch += 5000;
+  const n1 = ownerOf(w)!;
+  n1.alive = false;
+  w.play(5);
+  n1.boot();
+  w.play(15);
+  const before = Math.max(...[...w.workers.values()].map((x) => x.token));
+  loses(
+    w,
+    new Traffic(w, 1e9),
+    (x) => losses['wiped'](x, x.state.copy()),
+    (x) => x.nodes,
+    4,
+    /^forgotten/,
+  );
+  // What nobody knows any more gets 404 after the stated time; nothing else is broken.
+  const n = w.nodes[0];
+  assert.equal(n.submit(spec('req-7', { team: 'blue' }))?.status, 201);
+  assert.ok(w.playUntil(() => n.controller.replica.jobs.get('req-7')?.state === 'done', 120));
+  assert.ok([...w.workers.values()].some((x) => x.token > before + 2 ** 30));
+});
+
+test('no loss, no doubt: outages, cuts, leases that end, lost answers and restarts are none', () => {
+  const { w, users } = served(8);
+  w.state.loses = (txn) => txn.apply.length % 5 === 0;
+  w.after(5000, () => (w.state.down = true));
+  w.after(25_000, () => (w.state.down = false));
+  w.after(40_000, () => (w.nodes[0].cut = true));
+  w.after(55_000, () => (w.nodes[0].cut = false));
+  w.after(60_000, () => (w.nodes[1].frozen = true));
+  w.after(72_000, () => (w.nodes[1].frozen = false));
+  w.after(80_000, () => {
+    w.nodes[2].alive = false;
+    w.after(3000, () => w.nodes[2].boot());
+  });
+  w.play(110);
+  w.state.loses = () => false;
+  users.stop();
+  assert.ok(w.playUntil(() => users.over, 200));
+  assert.deepEqual(w.broken, []);
+  assert.deepEqual(
+    w.nodes.map((n) => n.reborn),
+    [0, 0, 0],
+  );
+});
--- a/test/recovery.test.ts
+++ b/test/recovery.test.ts
@@ -61,10 +61,10 @@
 
 test('vouching: every peer, the same process as before, and all it knows', () => {
   const v = new Vouching('a1', ['b', 'c'], 100);
-  const q = (nonce: number, run = 'a1') => ({ run, nonce, epoch: 7 });
+  const q = (nonce: number, run = 'a1') => ({ run, nonce, epoch: 7, inc: 0 });
   v.heard('b', 'b1', 10);
   v.heard('c', 'c1', 10);
-  assert.deepEqual(v.ask(1000, 7), { run: 'a1', nonce: 1, epoch: 7 });
+  assert.deepEqual(v.ask(1000, 7), { run: 'a1', nonce: 1, epoch: 7, inc: 0 });
   assert.equal(v.ask(1050, 7), null);
   assert.equal(v.answered('b', 'b1', q(1), 500), null);
   assert.equal(v.answered('c', 'c1', q(1), 500), 1000);
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -8,7 +8,12 @@
   assert.ok(
     w.playUntil(
       () =>
-        w.nodes.every((n) => n.controller.replica.types.length > 0 && n.controller.replica.shards.size > 0),
+        w.nodes.every(
+          (n) =>
+            n.controller.replica.types.length > 0 &&
+            n.controller.replica.shards.size > 0 &&
+            n.controller.sureOfAbsence,
+        ),
       20,
     ),
   );
@@ -450,6 +455,8 @@
     run: 'a',
     busy: 7,
     front: true,
+    inc: 3,
+    jobs: 12,
     wants: {
       tasks: 3,
       users: 4,
@@ -462,7 +469,7 @@
   assert.deepEqual(got, [{ relayed: { id: 7, status: 200, body: '{"x":"ä"}' } }, { pulse }]);
   // Guards against zeros, which are not sent: who wants nothing was taken for one that does not say what it wants.
   for (const wants of [{ tasks: 0, users: 0, behindS: 0, follows: 0, kinds: [] }, null]) {
-    const pulse = { epoch: 1, run: 'a', busy: 0, front: false, wants };
+    const pulse = { epoch: 1, run: 'a', busy: 0, front: false, wants, inc: 0, jobs: 0 };
     assert.deepEqual(new FrameReader().push(encodeFrame({ pulse })), [{ pulse }]);
   }
   assert.throws(() => reader.push(Buffer.from('ffffffff00', 'hex')));
--- a/test/scale.test.ts
+++ b/test/scale.test.ts
@@ -144,6 +144,7 @@
       weighty: () => undefined,
       sealed: () => undefined,
       levelChanged: () => undefined,
+      incarnationChanged: () => undefined,
     },
     new Levels(abilityOf('test')),
   );
--- a/test/urgent.test.ts
+++ b/test/urgent.test.ts
@@ -10,7 +10,10 @@
   w.capacity = 6;
   // Few would be stopped for them before the limit is near.
   w.types = [{ ...box, bootS: 3 }];
-  w.playUntil(() => w.nodes[0].controller.replica.types.length > 0, 20);
+  w.playUntil(
+    () => w.nodes[0].controller.replica.types.length > 0 && w.nodes[0].controller.sureOfAbsence,
+    20,
+  );
   w.nodes[0].submit(spec('req-1', { team: 'blue', urgency: 'low', tasks: 600 }));
   assert.ok(w.playUntil(() => w.running('req-1').length === 48, 60));
   // They end one after the other, so no machine runs empty by itself.
@@ -41,7 +44,10 @@
   const w = new World(1);
   w.nodes[0].settings.objectives.push({ kind: 'wait', class: 'photo', within_s: 60, times: 1 });
   w.capacity = 6;
-  w.playUntil(() => w.nodes[0].controller.replica.types.length > 0, 20);
+  w.playUntil(
+    () => w.nodes[0].controller.replica.types.length > 0 && w.nodes[0].controller.sureOfAbsence,
+    20,
+  );
   w.nodes[0].submit(spec('req-1', { team: 'red', urgency: 'low', tasks: 600 }));
   assert.ok(w.playUntil(() => w.running('req-1').length === 16, 60));
   let n = 0;
--- a/test/world.ts
+++ b/test/world.ts
@@ -7,6 +7,7 @@
 import { Controller } from '../src/core/controller.js';
 import type { Command, CommitOutcome, Effect } from '../src/core/effects.js';
 import { prefix } from '../src/core/keys.js';
+import type { Legacy } from '../src/core/memory.js';
 import type { JobSpec } from '../src/model/job.js';
 import type { MachineType } from '../src/model/machine.js';
 import type { Order, Report, TaskReport } from '../src/model/report.js';
@@ -174,6 +175,20 @@
     for (const [hold, until] of [...this.holds]) if (until < this.world.now) this.end(hold);
   }
 
+  /** A copy of what there is, to come back to. */
+  copy(): { epoch: number; keys: [string, Change & { hold?: number }][] } {
+    return { epoch: this.epoch, keys: [...this.keys] };
+  }
+
+  /** It has lost data: what is left, at which revision. Nothing tells of it; leases are gone, too. */
+  lose(left: [string, Change & { hold?: number }][], epoch: number): void {
+    this.keys.clear();
+    for (const [key, k] of left) this.keys.set(key, k);
+    this.epoch = epoch;
+    this.log.length = 0;
+    this.holds.clear();
+  }
+
   items(): Change[] {
     return [...this.keys.values()]
       .filter((k) => k.key.startsWith(prefix))
@@ -231,10 +246,17 @@
 
   boot(): void {
     this.alive = true;
-    this.readFrom = this.world.now;
     this.queue = [];
-    this.followed = -1;
     this.died = null;
+    this.start(null);
+  }
+
+  /** How often it began anew with what it knew. */
+  reborn = 0;
+
+  private start(legacy: Legacy | null): void {
+    this.readFrom = this.world.now;
+    this.followed = -1;
     this.controller = new this.program.Controller(
       this.settings,
       this.operators,
@@ -243,6 +265,7 @@
       (...line) => void this.logged.push(line),
       null,
       this.program.name,
+      legacy,
     );
   }
 
@@ -401,6 +424,21 @@
       }
       case 'catch-up':
         break;
+      case 'audit': {
+        const items = w.state
+          .items()
+          .sort((a, b) => (a.key < b.key ? -1 : 1))
+          .filter((i) => i.key > e.from);
+        const part = { items: items.slice(0, e.keys), more: items.length > e.keys };
+        reply({ c: 'audited', from: e.from, ...part, epoch: off ? null : w.state.epoch });
+        break;
+      }
+      case 'reborn':
+        this.reborn++;
+        // What was asked for before counts no more; requests wait on.
+        this.queue = this.queue.filter((c) => ['submit', 'query', 'withdraw', 'checkin'].includes(c.c));
+        this.start(e.legacy);
+        break;
     }
   }
 
