--- a/src/core/rebuilding.ts
+++ b/src/core/rebuilding.ts
@@ -209,7 +209,8 @@
     // Until the state says which incarnation it is, nothing can be told from what it was.
     const { levels } = replica;
     const unnamed = levels.state.stamp === 0 && levels.mine.most >= features.incarnations.level;
-    if (this.doubt !== null && (inc || this.legacy || unnamed)) {
+    // Below that level there are programs beside this one that could not join.
+    if (this.doubt !== null && (levels.has('incarnations') || this.legacy || unnamed)) {
       const n = Math.max(this.seen?.n ?? 0, this.legacy?.n ?? 0, this.atLeast);
       // What another has opened was opened since: what this one knew is of the one before.
       const was = this.doubt.startsWith('incarnation') ? n - 1 : n;
