Turns by a binary heap that loads in no time: a start holds no more than before

Cause: the ordered tree of the turns was loaded at each start, also where admission is off: 32 ms and 3.5 MB (RSS 61 to 67 MB at listening). Change: tinyqueue, with places that hold no more passed over. Ruled out: loading the tree only where admission is on (a second way to start for one class).

--- a/src/admission/turns.ts
+++ b/src/admission/turns.ts
@@ -1,7 +1,4 @@
-import BTreeModule from 'sorted-btree';
-
-// The library is CommonJS: its class is the default of its default.
-const BTree = BTreeModule.default;
+import TinyQueue from 'tinyqueue';
 
 /** Somebody who takes turns. */
 export interface Lane {
@@ -15,7 +12,13 @@
   waiting: number;
 }
 
-const byPass = (a: Lane, b: Lane): number => a.pass - b.pass || a.seq - b.seq;
+/** A lane's place in a queue; it holds for as long as the lane's pass is the same and it still belongs there. */
+interface Place<L> {
+  lane: L;
+  pass: number;
+}
+
+const byPass = (a: Place<Lane>, b: Place<Lane>): number => a.pass - b.pass || a.lane.seq - b.lane.seq;
 
 /**
  * Start-time fair queueing: a turn of a lane lasts 1 / weight of virtual time, the earliest goes next, and who comes back after
@@ -24,10 +27,11 @@
  */
 export class Turns<L extends Lane> {
   private readonly lanes = new Map<string, L>();
-  /** Those that have entries, and those that have none, by when they would go. */
-  private readonly waiting = new BTree<L, true>(undefined, byPass);
-  private readonly resting = new BTree<L, true>(undefined, byPass);
+  /** Those that have entries, and those that have none, by when they would go; places that hold no more are passed over. */
+  private readonly busy = new TinyQueue<Place<L>>([], byPass);
+  private readonly resting = new TinyQueue<Place<L>>([], byPass);
   private weights = 0;
+  private active = 0;
   private now = 0;
   private made = 0;
 
@@ -43,9 +47,9 @@
       this.lanes.set(name, lane);
     }
     if (lane.waiting === 0) {
-      this.resting.delete(lane);
       lane.pass = Math.max(lane.pass, this.now);
-      this.waiting.set(lane, true);
+      this.busy.push({ lane, pass: lane.pass });
+      this.active++;
     } else this.weights -= lane.weight;
     this.weights += weight;
     lane.weight = weight;
@@ -56,9 +60,8 @@
   /** A lane has an entry less. */
   leave(lane: L): void {
     if (--lane.waiting > 0) return;
-    this.waiting.delete(lane);
-    this.weights = this.waiting.size === 0 ? 0 : this.weights - lane.weight;
-    this.resting.set(lane, true);
+    this.weights = --this.active === 0 ? 0 : this.weights - lane.weight;
+    this.resting.push({ lane, pass: lane.pass });
   }
 
   /** The share of the turns that a lane has now, or would have with this weight if it came. */
@@ -70,17 +73,18 @@
 
   /** Whose turn it is; it is taken. */
   next(): L | null {
-    const best = this.waiting.minKey();
-    if (best === undefined) return null;
-    this.waiting.delete(best);
+    let place = this.busy.pop();
+    while (place && !(place.lane.waiting > 0 && place.lane.pass === place.pass)) place = this.busy.pop();
+    if (!place) return null;
+    const best = place.lane;
     this.now = best.pass;
     best.pass += 1 / best.weight;
-    this.waiting.set(best, true);
-    for (;;) {
-      const over = this.resting.minKey();
-      if (over === undefined || over.pass > this.now) break;
-      this.resting.delete(over);
-      this.lanes.delete(over.name);
+    this.busy.push({ lane: best, pass: best.pass });
+    for (let over = this.resting.peek(); over && over.pass <= this.now; over = this.resting.peek()) {
+      this.resting.pop();
+      const { lane, pass } = over;
+      if (lane.waiting === 0 && lane.pass === pass && this.lanes.get(lane.name) === lane)
+        this.lanes.delete(lane.name);
     }
     return best;
   }
