Work goes on as soon as the fleet is brought back: no task is lost when the state is wiped

Change: jobs that are over wait until everything else is given, and go at the lowest rank while work goes on; whole only when nobody tells of more jobs than are there. Ruled out: granting at once (an owner would find its machines free).

--- a/src/core/neighbours.ts
+++ b/src/core/neighbours.ts
@@ -74,6 +74,14 @@
     return [...this.others.values()].filter((o) => this.isFresh(o) && o.pulse.epoch > epoch).length;
   }
 
+  /** Jobs that this process knows. */
+  jobs: () => number = () => this.replica.jobKeys;
+
+  /** The most jobs that any other knows. */
+  get mostJobs(): number {
+    return Math.max(0, ...[...this.others.values()].filter((o) => this.isFresh(o)).map((o) => o.pulse.jobs));
+  }
+
   /** Whether all of the others have been heard since this process began. */
   get allHeard(): boolean {
     return this.members.every((m) => this.others.has(m));
@@ -108,7 +116,7 @@
         front,
         wants: wants(),
         inc: this.inc,
-        jobs: this.replica.jobKeys,
+        jobs: this.jobs(),
       },
     });
   }
--- a/src/core/rebuilding.ts
+++ b/src/core/rebuilding.ts
@@ -71,17 +71,25 @@
     private readonly log: Log,
   ) {
     this.left = legacy ? [...legacy.records] : null;
+    this.legacyJobs = [...(legacy?.records.keys() ?? [])].filter((key) => key.startsWith('dp/j/')).length;
   }
 
   /** Whether anybody may act: write, grant, start, rent, return, answer workers. */
   get acting(): boolean {
-    return this.legacy === null && this.replica.inc?.stage !== 'open';
+    return this.given && this.replica.inc?.stage !== 'open';
   }
 
-  /** Whether all that this process knew has been given. */
+  /** Whether all that others need to act has been given of what this process knew; jobs that are over follow. */
   get given(): boolean {
-    return this.legacy === null;
+    return this.legacy === null || this.fleetGiven;
   }
+  private fleetGiven = false;
+
+  /** Jobs that this process knows, also those that it has still to give. */
+  get jobs(): number {
+    return Math.max(this.replica.jobKeys, this.legacyJobs);
+  }
+  private readonly legacyJobs: number;
 
   /** Whether a job that is not there was never accepted. */
   get sureOfAbsence(): boolean {
@@ -200,7 +208,7 @@
     if (this.lastRead && replica.epoch >= this.lastRead.epoch) {
       const { sentAt, epoch } = this.lastRead;
       this.lastRead = null;
-      this.suspect(witness.agrees(sentAt, epoch, inc?.n ?? 0, replica.jobKeys));
+      this.suspect(witness.agrees(sentAt, epoch, inc?.n ?? 0, replica.jobKeys, inc?.stage === 'whole'));
       this.confirm(sentAt);
     } else this.confirm(-1);
     if (inc && this.seen && inc.n > this.seen.n && this.legacy === null && this.seen.n > 0)
@@ -276,7 +284,11 @@
   private give(): void {
     const { now } = this.clock;
     if (this.left === null) return;
+    // Guards against tasks whose workers' leases end while jobs that are over are brought back: those come last.
+    this.fleetGiven ||= this.writing === 0 && (this.left.length === 0 || isOver(...this.left[0]));
+    const wait = !this.fleetGiven || this.replica.inc?.stage === 'open';
     while (this.writing < together && this.left.length > 0) {
+      if (wait && isOver(...this.left[0])) break;
       const [key, data] = this.left.shift()!;
       if (this.lacking(key, data)) this.giveOne(key, data);
     }
@@ -306,7 +318,7 @@
       this.left?.unshift([key, data]);
     };
     this.committer.add({
-      rank: Rank.membership,
+      rank: isOver(key, data) ? Rank.cleanup : Rank.membership,
       build: () => {
         // Looked at again: others give, too.
         const now = this.left === null ? null : this.lacking(key, data);
@@ -337,17 +349,16 @@
       if (gone && this.left === null) this.put('incarnation taken over', inc, inc.n, inc.stage, []);
       return;
     }
-    const fleetGiven =
-      this.left === null || (this.writing === 0 && this.left.every(([key, data]) => isOver(key, data)));
     if (inc.stage === 'open') {
-      if (fleetGiven) this.put('work goes on', inc, inc.n, 'serving', []);
+      if (this.given) this.put('work goes on', inc, inc.n, 'serving', []);
       return;
     }
     const sinceMs = now - this.seen!.at;
     const members = [this.settings.member, ...this.settings.peers.map((p) => p.member)];
     const all = members.every((m) => this.replica.nodes.has(m));
     const patient = sinceMs > absentLeases * this.settings.workers.lease_s * 1000;
-    if (this.left === null && sinceMs > this.waitMs && (all || patient)) {
+    const known = this.neighbours.mostJobs <= this.replica.jobKeys;
+    if (this.left === null && sinceMs > this.waitMs && (patient || (all && known))) {
       if (!all)
         this.log('warn', 'not all members were there: what only they knew is lost until they come', {
           members: members.filter((m) => !this.replica.nodes.has(m)),
--- a/src/rebuild/witness.ts
+++ b/src/rebuild/witness.ts
@@ -63,7 +63,7 @@
   }
 
   /** A reading sent at `sentAt` gave this revision; what was followed up to there names this incarnation (0: none), and so many jobs. */
-  agrees(sentAt: number, epoch: number, inc: number, jobs: number): string | null {
+  agrees(sentAt: number, epoch: number, inc: number, jobs: number, whole: boolean): string | null {
     for (let i = this.peers.length - 1; i >= 0; i--) {
       const p = this.peers[i];
       if (p.at >= sentAt) continue;
@@ -71,7 +71,9 @@
       if (p.inc > inc) return `another controller follows incarnation ${p.inc}, here it is ${inc}`;
       if (p.inc === inc && p.epoch > epoch)
         return `another controller has seen revision ${p.epoch}, now it is ${epoch}`;
-      if (p.inc === inc && p.jobs > jobs) return `another controller knows ${p.jobs} jobs, here are ${jobs}`;
+      // Until all is brought back, others know more.
+      if (whole && p.inc === inc && p.jobs > jobs)
+        return `another controller knows ${p.jobs} jobs, here are ${jobs}`;
     }
     return null;
   }
--- a/test/measure.ts
+++ b/test/measure.ts
@@ -282,6 +282,7 @@
   store,
   match,
   flood: async () => (await import('./measureflood.js')).flood(say),
+  loss: async () => (await import('./measureloss.js')).loss(say),
   levels: async () => (await import('./measurelevels.js')).levels(say),
   restart,
   batch: () => batch(null),
--- /dev/null
+++ b/test/measureloss.ts
@@ -0,0 +1,84 @@
+/** A state service that has lost data, at fleet size, on the scripted world: `npm run measure -- loss`. Figures are simulated. */
+import { spec, World } from './world.js';
+
+const losses: Record<string, (w: World) => void> = {
+  wiped: (w) => w.state.lose([], 1),
+  'every second record gone': (w) =>
+    w.state.lose(
+      [...w.state.keys].filter((_, i) => i % 2 === 0),
+      w.state.epoch,
+    ),
+};
+
+export function loss(say: (text: string) => void): void {
+  for (const [what, lose] of Object.entries(losses)) {
+    const w = new World(3, { 'idle-boots': 1000 });
+    w.types = [{ ...w.types[0], cpus: 16, memGb: 64 }];
+    w.capacity = 900;
+    w.leaseMs = 24_000;
+    for (const n of w.nodes) {
+      Object.assign(n.settings.workers, { lease_s: 24, report_s: 5, cancel_s: 49 });
+      n.boot();
+    }
+    w.reportMs = 5000;
+    w.play(8);
+    let rid = 0;
+    // Some that are over, and some that run for long.
+    for (let i = 0; i < 700; i++)
+      w.nodes[i % 3].push({
+        c: 'submit',
+        rid: ++rid,
+        spec: spec(`req-${1000 + i}`, { team: 'blue', tasks: 1, cpus: 0.1 }),
+      });
+    for (let i = 0; i < 60; i++) {
+      for (const x of w.workers.values()) x.runS = 2;
+      w.play(1);
+    }
+    w.state.writesPerS = 35;
+    for (const n of w.nodes) n.settings.state.write_rps = 35;
+    for (let i = 0; i < 120; i++)
+      w.nodes[i % 3].push({
+        c: 'submit',
+        rid: ++rid,
+        spec: spec(`req-${3000 + i}`, { team: 'blue', tasks: 100, cpus: 1, estimateS: 1000 }),
+      });
+    for (let i = 0; i < 90; i++) {
+      for (const x of w.workers.values()) x.runS = 1000;
+      w.play(1);
+    }
+    const keys = w.state.keys.size;
+    const running = () =>
+      [...w.workers.values()].reduce(
+        (n, x) => n + [...x.tasks.values()].filter((t) => t.report.phase === 'running').length,
+        0,
+      );
+    const before = running();
+    const done = () => w.nodes[0].controller.replica.jobs.size;
+    const jobs = done();
+    const at = w.now;
+    const commits = w.commits.length;
+    lose(w);
+    const when = (line: string): string => {
+      w.playUntil(() => w.nodes.some((n) => n.logged.some((l) => l[1] === line)), 150);
+      return ((w.now - at) / 1000).toFixed(1);
+    };
+    const noticed = when('state service has lost data');
+    const goes = when('work goes on');
+    const least = running();
+    const whole = when('rebuilt');
+    const writes = w.commits
+      .slice(commits)
+      .reduce((n, c) => n + (c.outcome.r === 'ok' ? c.txn.apply.length : 0), 0);
+    const first = w.starts.length;
+    w.playUntil(() => w.starts.length > first, 60);
+    say(
+      `${what}: 900 machines, ${keys} keys, ${jobs} jobs, ${before} tasks running, 35 writes a second (simulated)`,
+    );
+    say(
+      `  noticed after ${noticed} s, work goes on after ${goes} s, rebuilt after ${whole} s, first start after ${((w.now - at) / 1000).toFixed(1)} s`,
+    );
+    say(
+      `  ${writes} writes; ${done()} jobs known; ${least} tasks ran when work went on, ${running()} now; ${w.broken.length} rules broken`,
+    );
+  }
+}
