A worker that makes its token up raises no doubt

Need: a token beyond what any incarnation could have would have opened incarnations whose tokens are not exact any more. Change: such a token says nothing; the worker is left alone as before. Test: three controllers, all workers at 2^53 - 1, no rebuild begun.

--- a/src/core/rebuilding.ts
+++ b/src/core/rebuilding.ts
@@ -2,6 +2,7 @@
 import type { Data } from '../formats/index.js';
 import {
   incarnationOf,
+  mostIncarnations,
   merge,
   same,
   Witness,
@@ -154,7 +155,8 @@
 
   token(token: number): void {
     const n = this.replica.inc?.n ?? 1;
-    if (token === 0) return;
+    // Guards against a worker that makes its token up: no incarnation could go above it.
+    if (token === 0 || incarnationOf(token) > mostIncarnations) return;
     if (incarnationOf(token) > n) this.atLeast = Math.max(this.atLeast, incarnationOf(token));
     this.suspect(this.witness.token(token, n, this.clock.now));
   }
--- a/src/rebuild/incarnation.ts
+++ b/src/rebuild/incarnation.ts
@@ -23,6 +23,9 @@
 const tokenRange = 2 ** 36;
 const attemptRange = 2 ** 20;
 
+/** Beyond this tokens would not be exact any more: whoever has seen one of them was told so by nobody here. */
+export const mostIncarnations = 2 ** 17 - 2;
+
 export const tokenBase = (n: number): number => Math.max(0, n - 1) * tokenRange;
 export const attemptBase = (n: number): number => Math.max(0, n - 1) * attemptRange;
 
--- a/src/rebuild/index.ts
+++ b/src/rebuild/index.ts
@@ -1,6 +1,7 @@
 export {
   attemptBase,
   incarnationOf,
+  mostIncarnations,
   stages,
   tokenBase,
   type Incarnation,
--- a/test/rebuild.test.ts
+++ b/test/rebuild.test.ts
@@ -286,3 +286,16 @@
     [0, 0, 0],
   );
 });
+
+test('a worker that makes its token up raises no doubt: no incarnation could go above it', () => {
+  const w = new World(3);
+  w.play(6);
+  w.nodes[0].submit(spec('req-1', { team: 'blue' }));
+  assert.ok(w.playUntil(() => w.running('req-1').length > 0, 60));
+  for (const x of w.workers.values()) x.token = 2 ** 53 - 1;
+  w.play(30);
+  assert.deepEqual(
+    w.nodes.map((n) => n.reborn),
+    [0, 0, 0],
+  );
+});
