Read again: a doubt says by a field that another has opened, equal shares are worked out once

What was read twice over: a doubt's text was looked at to tell whether another controller had opened the incarnation; the fall-back without a plan worked out the equal share that alonePart gives; two getters counted the same queues; a list of stages and a second name for sureOfAbsence were of no use. Behaviour as before; tests unchanged.

--- a/src/admission/plan.ts
+++ b/src/admission/plan.ts
@@ -1,5 +1,5 @@
 import { maxMin } from './maxmin.js';
-import { bunches, partsOf, planned, type Parts, type Wants } from './parts.js';
+import { alonePart, bunches, partsOf, planned, type Parts, type Wants } from './parts.js';
 
 /** What users of one team and class want, a second. */
 export interface KindWant {
@@ -58,7 +58,8 @@
 
 /** What a controller follows that has no plan that is known to be new: deterministic, and all of them together are the whole. */
 export function withoutPlan(writesPerS: number, members: number, planInForce: boolean): Parts {
-  const total = planInForce ? floorOf(writesPerS, members) : wholeOf(writesPerS) / members;
+  if (!planInForce) return alonePart(writesPerS, members);
+  const total = floorOf(writesPerS, members);
   return { total, users: total / 2 };
 }
 
--- a/src/core/committer.ts
+++ b/src/core/committer.ts
@@ -111,16 +111,19 @@
     return Math.max(0, Math.min(this.limits.ops, Math.floor(this.tokens)) - this.queues[Rank.user].length);
   }
 
+  /** What waits of all but users. */
+  private get waitingTasks(): number {
+    return this.queues.reduce((n, q, rank) => (rank === Rank.user ? n : n + q.length), 0);
+  }
+
   /** Writes a second for all but users: those of late, and those that wait. */
   tasksWanted(now: number): number {
-    const waiting = this.queues.reduce((n, q, rank) => (rank === Rank.user ? n : n + q.length), 0);
-    return this.others.rate(now) + waiting / 2;
+    return this.others.rate(now) + this.waitingTasks / 2;
   }
 
   /** How long what waits to be written for accepted work will take, s. */
   get behindS(): number {
-    const waiting = this.queues.reduce((n, q, rank) => (rank === Rank.user ? n : n + q.length), 0);
-    return waiting / Math.max(1, this.writesPerS);
+    return this.waitingTasks / Math.max(1, this.writesPerS);
   }
 
   /** What this controller may write, a second, as the division among all has it. */
--- a/src/core/rebuilding.ts
+++ b/src/core/rebuilding.ts
@@ -39,7 +39,8 @@
  */
 export class Rebuilding {
   private readonly witness = new Witness();
-  private doubt: string | null = null;
+  /** Why; `joins`: another has opened an incarnation, so what this process knew is of the one before. */
+  private doubt: { why: string; joins: boolean } | null = null;
   /** What still has to be given; null: nothing (any more). */
   private left: [string, Data][] | null;
   private written = 0;
@@ -92,7 +93,10 @@
   }
   private readonly legacyJobs: number;
 
-  /** Whether a job that is not there was never accepted. */
+  /**
+   * Whether a job that is not there was never accepted. What may be running somewhere is known then, too: it has been told, or
+   * its lease has ended.
+   */
   get sureOfAbsence(): boolean {
     if (!this.acting || (this.replica.inc?.stage ?? 'whole') !== 'whole') return false;
     return this.confirmed;
@@ -121,11 +125,6 @@
   private confirmed = false;
   private loadedAt = -1;
 
-  /** What may be running somewhere is known again: it has been told, or its lease has ended. */
-  get startsAllowed(): boolean {
-    return this.sureOfAbsence;
-  }
-
   // ---- noticing ----
 
   reached(epoch: number): void {
@@ -179,8 +178,8 @@
     this.auditFrom = to ?? '';
   }
 
-  private suspect(why: string | null): void {
-    if (why !== null && this.doubt === null) this.doubt = why;
+  private suspect(why: string | null, joins = false): void {
+    if (why !== null && this.doubt === null) this.doubt = { why, joins };
   }
 
   /** As the leader: looks at a part of what is stored, again and again. */
@@ -214,7 +213,7 @@
       this.confirm(sentAt);
     } else this.confirm(-1);
     if (inc && this.seen && inc.n > this.seen.n && this.legacy === null && this.seen.n > 0)
-      this.suspect(`incarnation ${inc.n} was opened by ${inc.by}`);
+      this.suspect(`incarnation ${inc.n} was opened by ${inc.by}`, true);
     if (inc && (this.seen === null || inc.n > this.seen.n)) this.seen = { n: inc.n, at: this.clock.now };
     // Until the state says which incarnation it is, nothing can be told from what it was.
     const { levels } = replica;
@@ -222,10 +221,10 @@
     // Below that level there are programs beside this one that could not join.
     if (this.doubt !== null && (levels.has('incarnations') || this.legacy || unnamed)) {
       const n = Math.max(this.seen?.n ?? 0, this.legacy?.n ?? 0, this.atLeast);
-      // What another has opened was opened since: what this one knew is of the one before.
-      const was = this.doubt.startsWith('incarnation') ? n - 1 : n;
-      this.log('error', 'state service has lost data', { why: this.doubt, incarnation: was });
-      out.push({ e: 'reborn', legacy: legacyOf(replica, this.legacy, was, this.doubt) });
+      const { why, joins } = this.doubt;
+      const was = joins ? n - 1 : n;
+      this.log('error', 'state service has lost data', { why, incarnation: was });
+      out.push({ e: 'reborn', legacy: legacyOf(replica, this.legacy, was, why) });
       return true;
     }
     this.doubt = null;
--- a/src/rebuild/incarnation.ts
+++ b/src/rebuild/incarnation.ts
@@ -17,7 +17,6 @@
  * work goes on; who is asked about a job that is not there says 503. `whole`: all is there.
  */
 export type Stage = 'open' | 'serving' | 'whole';
-export const stages: readonly Stage[] = ['open', 'serving', 'whole'];
 
 /** Ranges: exact in JSON numbers (below 2^53) for 2^17 incarnations of 2^36 revisions, and of 2^20 attempts at a task. */
 const tokenRange = 2 ** 36;
--- a/src/rebuild/index.ts
+++ b/src/rebuild/index.ts
@@ -2,7 +2,6 @@
   attemptBase,
   incarnationOf,
   mostIncarnations,
-  stages,
   tokenBase,
   type Incarnation,
   type Stage,
