--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -239,7 +239,7 @@
       this.fleet.reset();
     }
     // Guards against a leader that was cut off or stood still: what it would rent or return may be another's by now.
-    if (leading && acting && !this.view.stale && !this.leaving.asked) {
+    if (leading && acting && !this.view.stale && this.membership.holds(now) && !this.leaving.asked) {
       this.rebuilding.audit(out);
       this.fleet.tick(out);
       this.upgrade.tick();
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -23,6 +23,9 @@
   private readonly renewals: Attempts;
   private renewAt = 0;
   private renewing = false;
+  /** When what gave the lease its present time was asked for, ms: it lasts at least `ttlMs` from then. */
+  private askedAt = -Infinity;
+  private heldFrom = -Infinity;
   private cleared = false;
   private readonly busy = new Set<string>();
   private readonly seen = new Map<string, { run: string; at: number }>();
@@ -53,6 +56,14 @@
     return this.replica.lead?.member === this.settings.member && this.replica.lead.run === this.run;
   }
 
+  /**
+   * Whether the lease surely lasts. Guards against a leader that acts by a view that is new enough while its lease, which was
+   * renewed before the view was last confirmed, has ended and another leads.
+   */
+  holds(now: number): boolean {
+    return now - this.heldFrom < this.ttlMs;
+  }
+
   /** Nobody is to give this process anything any more: it ends. */
   private leaving = false;
   private left = false;
@@ -116,12 +127,14 @@
       if (this.leaving) return;
       if (!this.asking && this.asks.take(now)) {
         this.asking = true;
+        this.askedAt = now;
         out.push({ e: 'lease', ttlMs: this.ttlMs });
       }
       return;
     }
     if (!this.renewing && now >= this.renewAt) {
       this.renewing = true;
+      this.askedAt = now;
       out.push({ e: 'renew', hold: this.hold });
     }
     if (this.leaving) return;
@@ -139,7 +152,10 @@
     this.hold = hold;
     this.renewAt = now + this.ttlMs / 3;
     if (hold === null) this.asks.fail(now);
-    else this.asks.ok();
+    else {
+      this.asks.ok();
+      this.heldFrom = this.askedAt;
+    }
   }
 
   renewed(hold: number, outcome: 'ok' | 'gone' | 'failed', now: number): void {
@@ -151,6 +167,7 @@
     }
     if (outcome === 'failed') this.renewals.fail(now);
     else this.renewals.ok();
+    if (outcome === 'ok') this.heldFrom = this.askedAt;
     this.renewAt = outcome === 'ok' ? now + this.ttlMs / 3 : Math.max(now, this.renewals.notBefore);
   }
 
--- /dev/null
+++ b/test/answers.test.ts
@@ -0,0 +1,136 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { bounce, longWorld, meeting, pick } from './meetings.js';
+import { leaderOf, ownerOf } from './rolls.js';
+import { sizes } from './sizes.js';
+import { Traffic } from './traffic.js';
+import type { World } from './world.js';
+
+/** Answers of the state service are under way for some time, so that what one node knows the others do not know yet. */
+function slowly(w: World): void {
+  w.commitMs = () => (w.chance() < 0.5 ? 60 * w.chance() : 0);
+  w.answerMs = 5 + Math.floor(60 * w.chance());
+  for (const n of w.nodes) n.heldMs = w.chance() < 0.4 ? 400 * w.chance() : 0;
+}
+
+meeting('close looks at all nodes after a job was accepted, ended or cancelled', {}, (w, at, users) => {
+  users.closely(0.7, 0.2, 0.3);
+  slowly(w);
+  for (let s = 5; s < 60; s += 6 + 8 * w.chance())
+    at(s, () => {
+      const how = w.chance();
+      const n = pick(w, [leaderOf(w), ownerOf(w), pick(w, w.nodes)]);
+      if (how < 0.25) bounce(w, n, 0.3, 5);
+      else if (how < 0.5 && n) {
+        n.cut = true;
+        w.after(12_000 * w.chance(), () => (n.cut = false));
+      } else if (how < 0.65 && n) {
+        n.frozen = true;
+        w.after(4000 * w.chance(), () => (n.frozen = false));
+      } else if (how < 0.8) {
+        w.state.down = true;
+        w.after(8000 * w.chance(), () => (w.state.down = false));
+      }
+      for (const x of w.nodes) x.apart = w.chance() < 0.15;
+    });
+  at(75, () => w.nodes.forEach((n) => (n.apart = n.cut = n.frozen = false)));
+  return {
+    lastsS: 80,
+    came: () => Math.min(users.looks.accepted, users.looks.done, users.looks.aborted),
+  };
+});
+
+meeting(
+  'a cancellation, a question or a repeat meets the end of a job, with no other trouble',
+  {},
+  (w, _, users) => {
+    users.closely(0.3, 0, 0.8);
+    w.answerMs = 5 + Math.floor(80 * w.chance());
+    return { lastsS: 60, came: () => users.looks.atEnd };
+  },
+);
+
+/** What a transaction changes, by the kind of key. */
+const kindsOf = (keys: readonly string[]): string[] => keys.map((k) => k.split('/').slice(0, 2).join('/'));
+
+const lostKinds = new Map<string, number>();
+
+/** From its start on the world loses answers to transactions. */
+function lossyWorld(seed: number): World {
+  return longWorld(seed, {
+    prepare: (w) => {
+      const share = 0.25 + 0.35 * w.chance();
+      w.state.loses = (txn) => {
+        if (w.chance() >= share) return false;
+        for (const k of kindsOf(txn.apply.map((a) => a.key))) lostKinds.set(k, (lostKinds.get(k) ?? 0) + 1);
+        return true;
+      };
+      w.lostMs = () => (w.chance() < 0.5 ? 20 : 1500 * w.chance());
+    },
+  });
+}
+
+meeting(
+  'a transaction is carried out at once and only its answer is lost, others read it',
+  { world: lossyWorld },
+  (w, at, users) => {
+    users.closely(0.4, 0.2, 0.3);
+    const before = [...lostKinds.values()].reduce((a, b) => a + b, 0);
+    for (let s = 3; s < 60; s += 9 + 9 * w.chance())
+      at(s, () => {
+        const owner = ownerOf(w);
+        const to = pick(w, w.nodes);
+        const run = owner?.controller.replica.nodes.get(to.member)?.run;
+        if (w.chance() < 0.5) bounce(w, pick(w, [owner, leaderOf(w)]), 0.3, 3);
+        else if (owner && run && to !== owner) owner.controller.membership.handOver(0, to.member, run);
+      });
+    at(68, () => (w.state.loses = () => false));
+    return { lastsS: 70, came: () => [...lostKinds.values()].reduce((a, b) => a + b, 0) - before };
+  },
+);
+
+test('... with every kind of write among them', () => {
+  const wanted = ['node', 'chief', 'kinds', 'teams', 'shard', 'level', 'members', 'inc', 'b', 'm', 'j'];
+  const never = wanted.filter((k) => !lostKinds.has(`dp/${k}`));
+  assert.deepEqual(never, [], [...lostKinds.keys()].join(' '));
+});
+
+/** State that grows with the jobs by what it is: records and what is read off them. */
+const bounds = new Map([
+  ['neighbours.recent.kept', 512],
+  ['rebuilding.witness.known', 256],
+]);
+const records = /^(replica|dispatcher\.books\.replica)\.(jobs|stamps|writers)$/;
+
+meeting(
+  'one-task jobs four a second, a quarter cancelled, some at their end; leaders change',
+  {
+    beforeS: 5,
+    share: 0.5,
+    world: (seed) => longWorld(seed, { runS: 12 }),
+    users: (w) => new Traffic(w, 250, () => ({}), 5),
+  },
+  (w, at, users) => {
+    users.closely(0.1, 0.05, 0.08);
+    w.state.writesPerS = 80;
+    const leaders = new Set<string>();
+    for (let s = 20; s < 110; s += 25 + 20 * w.chance())
+      at(s, () => bounce(w, pick(w, [ownerOf(w), leaderOf(w)]), 0.5, 4));
+    for (let s = 1; s < 120; s++) at(s, () => void leaders.add(leaderOf(w)?.member ?? '-'));
+    return {
+      lastsS: 120,
+      came: () => leaders.size - 1,
+      over: () => {
+        w.play(60);
+        const jobs = users.jobs.size;
+        assert.ok(jobs > 400, `${jobs} jobs`);
+        for (const n of w.nodes)
+          for (const [path, size] of sizes(n.controller))
+            assert.ok(
+              size < jobs / 4 || records.test(path) || size <= (bounds.get(path) ?? 0),
+              `${n.member} holds ${size} in ${path} after ${jobs} jobs`,
+            );
+      },
+    };
+  },
+);
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -1,14 +1,22 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { defaults } from '../src/config/operators.js';
-import { cancel, finish, kill, longJobs, longWorld, mixedTraffic, pick, settled } from './meetings.js';
+import {
+  cancel,
+  cancelS,
+  finish,
+  first,
+  kill,
+  longJobs,
+  longWorld,
+  mixedTraffic,
+  pick,
+  seeds,
+  settled,
+  some,
+} from './meetings.js';
 import { leaderOf, ownerOf } from './rolls.js';
-import type { Node, Worker, World } from './world.js';
-
-/** How many seeds of each meeting are played; more by hand. */
-const seeds = Number(process.env['MEETING_SEEDS'] ?? 4);
-const first = Number(process.env['MEETING_FIRST'] ?? 1);
-const cancelS = 36;
+import type { Node, World } from './world.js';
 
 type Peers = 'work' | 'refuse' | 'hang' | 'apart-leader' | 'apart-other';
 
@@ -198,8 +206,6 @@
   });
 }
 
-const some = (w: World, share: number): Worker[] => [...w.workers.values()].filter(() => w.chance() < share);
-
 meeting('a leader ends while machines with long tasks are out of reach or deaf', 40, (w, at) => {
   const hit = some(w, 0.6);
   const how = pick(w, ['deaf', 'silent', 'hung'] as const);
--- a/test/meetings.ts
+++ b/test/meetings.ts
@@ -1,18 +1,34 @@
 import assert from 'node:assert/strict';
+import { test } from 'node:test';
 import { Traffic } from './traffic.js';
-import { spec, World, type Node } from './world.js';
+import { Waiting } from './waiting.js';
+import { spec, World, type Node, type Worker } from './world.js';
+
+/** How many seeds of each meeting are played; more by hand. */
+export const seeds = Number(process.env['MEETING_SEEDS'] ?? 4);
+export const first = Number(process.env['MEETING_FIRST'] ?? 1);
+export const cancelS = 36;
+
+interface Setting {
+  runS?: number;
+  capacity?: number;
+  settingsOf?: (text: string) => string;
+  /** Done before the controllers start. */
+  prepare?: (w: World) => void;
+}
 
 /** Three controllers that serve, on a world whose tasks run for long. */
-export function longWorld(seed: number, runS = 600): World {
-  const w = new World(3, {}, seed);
-  w.capacity = 80;
-  w.runS = runS;
+export function longWorld(seed: number, setting: Setting = {}): World {
+  const w = new World(3, {}, seed, setting.settingsOf);
+  w.capacity = setting.capacity ?? 80;
+  w.runS = setting.runS ?? 600;
+  setting.prepare?.(w);
   const ready = (n: Node): boolean =>
     n.controller.replica.types.length > 0 &&
     n.controller.replica.shards.size > 0 &&
     n.controller.sureOfAbsence;
   assert.ok(
-    w.playUntil(() => w.nodes.every(ready), 20),
+    w.playUntil(() => w.nodes.every(ready), 60),
     'up',
   );
   return w;
@@ -112,10 +128,11 @@
   });
 }
 
-/** The troubles are over: every job gets an answer within 75 s, and comes to its end. */
+/** The troubles are over: every job gets an answer within 75 s, waits for no room that is there, and comes to its end. */
 export function finish(w: World, users: Traffic, withinS = 300): void {
   users.stop();
   const since = w.now;
+  const waiting = new Waiting(w, users);
   const silent = (): string[] =>
     [...users.told.keys()].filter((id) => (users.heardAt.get(id) ?? -Infinity) < since);
   assert.ok(
@@ -123,7 +140,75 @@
     `forgotten: ${silent().slice(0, 5).join(' ')}`,
   );
   const over = w.playUntil(() => users.over, withinS);
+  waiting.stop();
   assert.deepEqual(w.broken.slice(0, 3), []);
   const open = [...users.jobs.keys()].filter((id) => !['done', 'aborted'].includes(users.told.get(id) ?? ''));
-  assert.ok(over, `not over: ${open.join(' ')}`);
+  const tell = (id: string): string => {
+    const { shape, team, tasks, cpus, urgency } = w.specs.get(id)!;
+    return `${id} ${urgency} ${shape} of ${tasks} x ${cpus}, ${team}, ${w.running(id).length} there`;
+  };
+  assert.ok(over, `not over: ${open.map(tell).join('; ')}; ${w.workers.size} machines, ${w.capacity} left`);
+}
+
+export const some = (w: World, share: number): Worker[] =>
+  [...w.workers.values()].filter(() => w.chance() < share);
+
+/** What a meeting brings about: how long its troubles last, and whether they met. */
+export interface Course {
+  lastsS: number;
+  /** How often the meeting really came about. */
+  came: () => number;
+  /** Looked at when all is over. */
+  over?: () => void;
+}
+
+export interface Scene {
+  beforeS?: number;
+  world?: (seed: number) => World;
+  users?: (w: World) => Traffic;
+  /** Within which time all work is over. */
+  withinS?: number;
+  /** How many of the seeds are played, of those that are asked for. */
+  share?: number;
+}
+
+/**
+ * Troubles that come and go while users bring work; then nothing may have been broken, nobody forgotten, and nothing may wait.
+ * A seed in which the troubles did not meet counts for nothing: another is played for it.
+ */
+export function meeting(
+  name: string,
+  scene: Scene,
+  troubles: (w: World, at: (s: number, f: () => void) => void, users: Traffic) => Course,
+): void {
+  const { beforeS = 20, world = longWorld, users: usersOf = mixedTraffic, share = 1, withinS } = scene;
+  test(name, () => {
+    const wanted = Math.max(1, Math.round(seeds * share));
+    let counted = 0;
+    for (let seed = first; counted < wanted; seed++) {
+      assert.ok(seed < first + 3 * wanted, `met in ${counted} of ${seed - first} seeds only`);
+      const w = world(seed);
+      const users = usersOf(w);
+      try {
+        w.play(beforeS);
+        const course = troubles(w, (s, f) => w.after(s * 1000, f), users);
+        w.play(course.lastsS);
+        for (const n of w.nodes) if (!n.alive) n.boot();
+        finish(w, users, withinS);
+        course.over?.();
+        if (course.came() > 0) counted++;
+        if (process.env['MEETING_TELL'])
+          console.log(`${name}: seed ${seed} came ${course.came()}`, w.startsLate.length);
+      } catch (e) {
+        throw new Error(`seed ${seed}: ${(e as Error).message}`, { cause: e });
+      }
+    }
+  });
+}
+
+/** Ends a controller's process, and starts it again within this time, s. */
+export function bounce(w: World, n: Node | undefined, leastS: number, mostS: number): void {
+  if (!n?.alive) return;
+  kill(w, n);
+  w.after(1000 * (leastS + (mostS - leastS) * w.chance()), () => n.alive || n.boot());
 }
--- /dev/null
+++ b/test/teamlimits.test.ts
@@ -0,0 +1,129 @@
+import { bounce, longWorld, meeting, pick, some } from './meetings.js';
+import { leaderOf, ownerOf } from './rolls.js';
+import { Traffic } from './traffic.js';
+import type { Node, Worker, World } from './world.js';
+
+/** Both teams have a limit, and more work than that. */
+const limited = (seed: number): World =>
+  longWorld(seed, {
+    capacity: 12,
+    settingsOf: (text) => text.replace('name = "blue"', 'name = "blue"\ncpus_max = 16.0'),
+  });
+
+const lengths = [5, 10, 20, 40];
+
+function crowd(w: World): Traffic {
+  w.runOf = (piece) => lengths[Number(piece.split('/')[0].slice(4)) % lengths.length];
+  return new Traffic(
+    w,
+    2000,
+    (n) => {
+      const team = n % 2 === 0 ? 'blue' : 'red';
+      const cpus = 1 + (n % 4);
+      if (n % 9 === 0) return { team, shape: 'gang', tasks: 2, cpus, checkpointS: 5, saveS: 3 };
+      return { team, tasks: 1 + (n % 3), cpus, urgency: pick(w, ['low', 'normal', 'high'] as const) };
+    },
+    17,
+  );
+}
+
+/** What a team's tasks take, of its limit. */
+function fill(w: World, team: string): number {
+  const cap = w.nodes[0].settings.teams.find((t) => t.name === team)!.cpus_max!;
+  let cpus = 0;
+  for (const m of w.workers.values())
+    for (const [piece, t] of m.tasks) {
+      const spec = w.specs.get(t.report.job);
+      if (spec?.team === team && m.holds(piece)) cpus += spec.cpus;
+    }
+  return cpus / cap;
+}
+
+type How = 'hung' | 'silent' | 'deaf' | 'cut';
+
+function trouble(w: World, m: Worker, how: How, on: boolean): void {
+  if (how !== 'cut') m[how] = on;
+  else if (on) for (const n of w.nodes) m.cutFrom.add(n.member);
+  else m.cutFrom.clear();
+}
+
+/** Of the machines of some jobs, and of some others, nothing can be had for a while; the jobs are cancelled just then. */
+function cancelOutOfReach(w: World, users: Traffic, most: number): number {
+  const ids = users.going.filter((id) => w.running(id).length > 0).filter(() => w.chance() < 0.4);
+  const chosen = ids.slice(0, most);
+  const hit = new Set(some(w, 0.15));
+  for (const id of chosen)
+    for (const { host } of w.running(id)) if (w.chance() < 0.8) hit.add(w.workers.get(host)!);
+  const how = pick(w, ['hung', 'silent', 'deaf', 'cut'] as const);
+  const forMs = 1000 * (3 + 50 * w.chance());
+  for (const m of hit) {
+    w.after(800 * w.chance(), () => trouble(w, m, how, true));
+    w.after(900 + forMs, () => trouble(w, m, how, false));
+  }
+  for (const id of chosen) w.after(1500 * w.chance(), () => users.cancel(id, pick(w, w.nodes)));
+  return chosen.length;
+}
+
+for (const who of ['leader', 'owner'] as const)
+  meeting(
+    `every team is at its limit, jobs are cancelled whose machines are out of reach, the ${who} changes`,
+    { world: limited, users: crowd, beforeS: 30, withinS: 700 },
+    (w, at, users) => {
+      let met = 0;
+      const slow = w.chance() < 0.4;
+      if (slow) w.commitMs = () => 1500 * w.chance();
+      for (let s = 1; s < 90; s += 14 + 12 * w.chance()) {
+        at(s, () => {
+          const full = Math.min(fill(w, 'red'), fill(w, 'blue')) > 0.7;
+          const chosen = cancelOutOfReach(w, users, 5);
+          if (full) met += chosen;
+        });
+        at(s + 4 * w.chance(), () => {
+          const n = who === 'leader' ? leaderOf(w) : ownerOf(w);
+          const how = w.chance();
+          if (how < 0.5) bounce(w, n, 0.2, 6);
+          else if (n && how < 0.75) {
+            n.cut = true;
+            n.apart = w.chance() < 0.5;
+            w.after(25_000 * w.chance(), () => (n.cut = n.apart = false));
+          } else if (n) {
+            n.frozen = true;
+            w.after(12_000 * w.chance(), () => (n.frozen = false));
+          }
+        });
+      }
+      at(118, () => (w.commitMs = () => 0));
+      return { lastsS: 150, came: () => met };
+    },
+  );
+
+meeting(
+  'jobs are cancelled before, between and after the commits of a hand-over, through old, new and third',
+  { users: (w) => crowd(w), world: limited, beforeS: 25, withinS: 700 },
+  (w, at, users) => {
+    let met = 0;
+    w.commitMs = () => 250 * w.chance();
+    w.answerMs = 5 + Math.floor(60 * w.chance());
+    const grant = (): number => w.state.keys.get('dp/shard/0')?.stamp ?? 0;
+    const cancelSome = (): void => {
+      const ids = users.going.filter((id) => w.running(id).length > 0);
+      if (ids.length === 0) return;
+      const stamp = grant();
+      const id = pick(w, ids);
+      users.cancel(id, pick(w, w.nodes));
+      w.after(1200, () => (met += grant() !== stamp && users.told.get(id) === 'aborted' ? 1 : 0));
+    };
+    for (let s = 2; s < 75; s += 4 + 5 * w.chance()) {
+      at(s, () => {
+        const owner = w.nodes.find((n) => n.alive && n.controller.dispatcher.owned.has(0));
+        const to: Node = pick(w, w.nodes);
+        const run = owner?.controller.replica.nodes.get(to.member)?.run;
+        if (owner && run && to !== owner) owner.controller.membership.handOver(0, to.member, run);
+        if (w.chance() < 0.2) w.after(400 * w.chance(), () => bounce(w, pick(w, [owner, to]), 0.3, 4));
+      });
+      for (let i = 0; i < 3; i++) at(s - 0.4 + 1.2 * w.chance(), cancelSome);
+    }
+    at(80, () => (w.commitMs = () => 0));
+    return { lastsS: 84, came: () => met };
+  },
+);
--- a/test/traffic.ts
+++ b/test/traffic.ts
@@ -32,6 +32,15 @@
   private open: Asked[] = [];
   private again: { at: number; id: string }[] = [];
   private next: number;
+  /** Of what is told anew this share is looked at closely. */
+  private closeShare = 0;
+  /** This share of the jobs is cancelled right after it was accepted, or at its end. */
+  private atOnceShare = 0;
+  private atEndShare = 0;
+  /** How often all controllers were asked closely, by what had been told; and cancellations that met the end. */
+  readonly looks = { accepted: 0, done: 0, aborted: 0, atEnd: 0 };
+  private readonly endOf = new Map<string, number>();
+  private seenEnds = 0;
   private turn = 0;
   private rid = 5_000_000;
   private on = true;
@@ -50,6 +59,67 @@
     this.beat();
   }
 
+  /**
+   * From now on users look closely: after an answer that says something new, all controllers are asked within milliseconds,
+   * also by repeating the submission.
+   */
+  closely(share: number, atOnce = 0, atEnd = 0): void {
+    const first = this.closeShare === 0;
+    [this.closeShare, this.atOnceShare, this.atEndShare] = [share, atOnce, atEnd];
+    if (!first) return;
+    const beat = (): void => {
+      this.look();
+      this.watchEnds();
+      this.w.after(10, beat);
+    };
+    beat();
+  }
+
+  private lookClosely(id: string, told: Told): void {
+    const { w } = this;
+    if (w.chance() >= this.closeShare) return;
+    this.looks[told]++;
+    for (const n of w.nodes) {
+      this.ask('query', id, n);
+      w.after(40 * w.chance(), () => this.ask('query', id, n));
+      if (w.chance() < 0.5) w.after(20 * w.chance(), () => this.ask('submit', id, n));
+      if (w.chance() < 0.1) w.after(20 * w.chance(), () => this.ask('query', `req-9${id.slice(4)}9`, n));
+    }
+    if (told === 'accepted' && w.chance() < this.atOnceShare)
+      w.after(30 * w.chance(), () => this.cancel(id, w.nodes[Math.floor(w.chance() * w.nodes.length)]));
+  }
+
+  /** Its user calls a job off, through this controller first. */
+  cancel(id: string, through?: Node): void {
+    this.wantsEnd.add(id);
+    this.ask('withdraw', id, through);
+  }
+
+  /** Jobs that were accepted and are not known to be over. */
+  get going(): string[] {
+    return [...this.told].flatMap(([id, told]) => (told === 'accepted' ? [id] : []));
+  }
+
+  /** Cancellations, questions and repeated submissions that meet the end of a job's last task. */
+  private watchEnds(): void {
+    const { w } = this;
+    for (; this.seenEnds < w.finished.length; this.seenEnds++) {
+      const [id] = w.finished[this.seenEnds].split('/');
+      const job = this.jobs.get(id);
+      const ended = (this.endOf.get(id) ?? 0) + 1;
+      this.endOf.set(id, ended);
+      if (!job || ended !== job.tasks || w.chance() >= this.atEndShare) continue;
+      w.after(w.chance() < 0.3 ? 0 : 3000 * w.chance(), () => {
+        if (this.told.get(id) !== 'accepted') return;
+        this.looks.atEnd++;
+        const [a, b, c] = [...w.nodes].sort(() => w.chance() - 0.5);
+        if (w.chance() < 0.7) this.cancel(id, a);
+        this.ask('submit', id, b);
+        this.ask('query', id, c);
+      });
+    }
+  }
+
   /** No new jobs. */
   stop(): void {
     this.on = false;
@@ -91,14 +161,20 @@
     this.submit(id);
   }
 
-  private ask(what: Asked['what'], id: string): void {
-    const node = this.node();
+  private ask(what: Asked['what'], id: string, through?: Node): void {
+    const node = through ?? this.node();
+    if (node && (!node.alive || node.frozen)) return;
     if (!node) {
       if (what === 'submit') this.again.push({ at: this.w.now + 1000, id });
       return;
     }
     const rid = ++this.rid;
-    const job = this.jobs.get(id)!;
+    const job = this.jobs.get(id);
+    if (!job) {
+      node.push({ c: 'query', rid, id });
+      this.open.push({ id, node, rid, at: this.w.now, what: 'query' });
+      return;
+    }
     if (job.shape === 'gang') this.w.gangs.set(id, job.tasks);
     if (job.shape === 'service') this.w.endless.add(id);
     this.w.specs.set(id, job);
@@ -136,19 +212,24 @@
       }
       const status = answer?.status ?? 0;
       if (status === 200 || status === 201) this.hear(a, String(answer!.body['status']));
+      else if (!this.jobs.has(a.id)) continue;
       else if (status === 404 || status === 422 || status === 400) {
         if (this.told.has(a.id))
           w.broken.push(`forgotten ${a.id}: ${status} to ${a.what} by ${a.node.member}`);
         else if (a.what === 'submit') w.broken.push(`refused ${a.id}: ${status} by ${a.node.member}`);
       } else {
         this.failed++;
-        if (a.what === 'submit') this.again.push({ at: w.now + 1000, id: a.id });
+        if (a.what === 'submit' && !this.told.has(a.id)) this.again.push({ at: w.now + 1000, id: a.id });
       }
     }
     this.open = left;
   }
 
   private hear(a: Asked, status: string): void {
+    if (!this.jobs.has(a.id)) {
+      this.w.broken.push(`invented ${a.id}: ${status} by ${a.node.member}`);
+      return;
+    }
     this.answered++;
     this.heardAt.set(a.id, this.w.now);
     const now: Told = status === 'done' ? 'done' : status === 'aborted' ? 'aborted' : 'accepted';
@@ -156,7 +237,7 @@
     if (before === undefined) this.acceptedAfter.push(this.w.now - this.triedAt.get(a.id)!);
     if (before === 'done' || before === 'aborted') {
       // Asked for before it was told, an answer may be older.
-      if (now !== before && (now !== 'accepted' || a.at > this.overAt.get(a.id)!))
+      if (now !== before && (now !== 'accepted' || a.at >= this.overAt.get(a.id)!))
         this.w.broken.push(`went_back ${a.id}: ${before}, then ${now} by ${a.node.member}`);
       return;
     }
@@ -169,6 +250,8 @@
     }
     if (now !== 'accepted') this.overAt.set(a.id, this.w.now);
     if (now === 'aborted') this.w.cancelledAt.set(a.id, this.w.now);
-    if (before === undefined || rank[now] > rank[before]) this.told.set(a.id, now);
+    if (before !== undefined && rank[now] <= rank[before]) return;
+    this.told.set(a.id, now);
+    this.lookClosely(a.id, now);
   }
 }
--- a/test/world.ts
+++ b/test/world.ts
@@ -344,10 +344,14 @@
           });
           return void w.after(w.lostAnswerMs, () => reply({ c: 'committed', outcome: { r: 'unknown' } }));
         }
-        const outcome = w.state.commit(e.txn);
-        w.commits.push({ member: this.member, txn: e.txn, outcome });
-        const lost = w.state.loseAnswers || w.state.loses(e.txn);
-        reply({ c: 'committed', outcome: lost ? { r: 'unknown' } : outcome });
+        const { txn } = e;
+        w.sometime(w.commitMs(), () => {
+          const outcome = w.state.commit(txn);
+          w.commits.push({ member: this.member, txn, outcome });
+          const lost = w.state.loseAnswers || w.state.loses(txn);
+          if (lost) w.sometime(w.lostMs(), () => reply({ c: 'committed', outcome: { r: 'unknown' } }));
+          else reply({ c: 'committed', outcome });
+        });
         break;
       }
       case 'epoch':
@@ -374,7 +378,8 @@
           w.after(2000 + 10_000 * w.chance(), () => w.rent(request));
           return reply({ c: 'rented', request, outcome: 'unknown' });
         }
-        reply({ c: 'rented', request, outcome: w.rent(request) });
+        const outcome = w.rent(request);
+        w.sometime(w.cloudMs(), () => reply({ c: 'rented', request, outcome }));
         break;
       }
       case 'delete':
@@ -406,7 +411,10 @@
         });
         break;
       case 'order':
-        w.sometime(w.orderMs(), () => w.workers.get(e.host)?.straight(e.orders, e.token, e.session));
+        w.sometime(w.orderMs(), () => {
+          const to = w.workers.get(e.host);
+          if (!to?.cutFrom.has(this.member)) to?.straight(e.orders, e.token, e.session);
+        });
         break;
       case 'relay': {
         const to = w.nodes.find((n) => n.member === e.to);
@@ -623,7 +631,9 @@
     const session = this.session;
     const rid = ++w.rids;
     const report = this.report();
+    if (!node.controller.replica.machines.has(this.host)) w.early++;
     node.push({ c: 'checkin', rid, report });
+    if (w.chance() < w.keptForNext) w.old.push(report);
     if (w.chance() < w.lateReports) {
       const to = w.nodes[Math.floor(w.chance() * w.nodes.length)];
       w.after(2000 + 1.5 * w.leaseMs * w.chance(), () => to.push({ c: 'checkin', rid: ++w.rids, report }));
@@ -799,6 +809,20 @@
   runOf: (piece: string) => number | undefined = () => undefined;
   /** This share of rentals and returns gets no answer and is carried out 2 to 12 s later. */
   cloudLate = 0;
+  /** How long transactions are on their way, and answers to rentals; after how long a lost answer is noticed, ms. */
+  commitMs: () => number = () => 0;
+  cloudMs: () => number = () => 0;
+  lostMs: () => number = () => 0;
+  /** Reports of machines that the controller they came to had no record of. */
+  early = 0;
+  /** Of this share of the reports a copy is kept until somebody else leads or owns, and then reaches every controller. */
+  keptForNext = 0;
+  readonly old: Report[] = [];
+  /** How many such copies came just as somebody else had begun. */
+  oldCame = 0;
+  private readonly begun = new Map<string, number>();
+  /** Starts after a confirmed cancellation: of which tasks, and how long after. */
+  readonly startsLate: { piece: string; afterMs: number }[] = [];
   /** How long direct commands, and answers to reports, are held up, ms. */
   orderMs: () => number = () => 0;
   heldMs: () => number = () => 0;
@@ -810,11 +834,16 @@
   /** The world's own chance, apart from the controllers'. */
   readonly chance: () => number;
 
-  constructor(nodes = 1, operators: Partial<Operators> = {}, seed = 1) {
+  constructor(
+    nodes = 1,
+    operators: Partial<Operators> = {},
+    seed = 1,
+    settingsOf: (text: string) => string = (text) => text,
+  ) {
     this.seed = seed;
     this.chance = seeded(seed * 7919 + 13);
     for (let i = 0; i < nodes; i++) {
-      const settings = parseSettings(settingsText(`n${i}`, nodes));
+      const settings = parseSettings(settingsOf(settingsText(`n${i}`, nodes)));
       this.nodes.push(new Node(this, `n${i}`, settings, { ...defaults, ...operators }));
     }
   }
@@ -846,7 +875,7 @@
   remove(hosts: string[]): void {
     for (const h of hosts) {
       this.deleted.push(h);
-      this.workers.delete(h);
+      if (this.workers.delete(h)) this.capacity++;
     }
   }
 
@@ -866,6 +895,7 @@
         this.broken.push(`ran_twice ${piece} on ${w.host} and ${other.host}`);
     const since = this.cancelledAt.get(job);
     if (since !== undefined && this.now > since + 36_000) this.broken.push(`ran_cancelled ${piece}`);
+    if (since !== undefined && this.now > since) this.startsLate.push({ piece, afterMs: this.now - since });
     this.judgePlace(w, job, piece);
   }
 
@@ -893,6 +923,29 @@
     if (cap > 0 && cpus > cap + 1e-9) this.broken.push(`quota ${spec.team}: ${cpus} with ${piece}`);
   }
 
+  /** Somebody else leads or owns: what was kept for that moment comes now, or a little later. */
+  private bringOld(): void {
+    let changed = false;
+    for (const [key, { stamp }] of this.state.keys)
+      if (/^dp\/(chief|lead|shard\/)/.test(key) && this.begun.get(key) !== stamp) {
+        changed ||= this.begun.has(key);
+        this.begun.set(key, stamp);
+      }
+    if (!changed) return;
+    for (const report of this.old.splice(0)) {
+      const ms = this.chance() < 0.5 ? 100 * this.chance() : 4000 * this.chance();
+      this.after(ms, () => {
+        for (const n of this.nodes) if (n.alive) n.push({ c: 'checkin', rid: ++this.rids, report });
+        this.oldCame++;
+      });
+    }
+  }
+
+  /** A machine dies: the cloud has room for another. */
+  die(m: Worker): void {
+    if (this.workers.delete(m.host)) this.capacity++;
+  }
+
   /** Plays so many seconds, in steps of 10 ms. */
   play(seconds: number): void {
     const until = this.now + seconds * 1000;
@@ -903,6 +956,7 @@
       for (const l of due) l.fn();
       if (!this.state.down) this.state.expire();
       else this.state.expire();
+      if (this.keptForNext > 0 || this.old.length > 0) this.bringOld();
       for (const w of this.workers.values()) w.step();
       for (const n of this.nodes) n.step();
       for (const [job, at] of this.cancelledAt)
