Room that is kept for something that does not come is open to whoever has waited for long

Read through the suspects and staged each on the scripted world; six held work back without end: a machine claimed for a gang that finds no second one (claims of four leases, made anew each time), a team's limit owed to its urgent gang, a machine on which a task failed once, the room beside GPUs while GPU work waits for something else, GPU machines shut to work without GPUs, and work without GPUs that only GPU machines fit, which was accepted, rented for and never placed.

GPU machines are open to work that nothing else fits. An idle machine that is claimed is not given back, to be given again at once (two writes and a new token each few seconds on the world). Ruled out: shorter claims alone (the gang claims again in the same round); opening all kept room after a while to everybody (in an overload most jobs wait that long, and urgent gangs would starve).

--- a/src/core/books/books.ts
+++ b/src/core/books/books.ts
@@ -317,12 +317,12 @@
     if (m && m.placements.size === 0) m.idleSince = this.clock.now;
   }
 
-  /** What work of a team may still take: its limit goes to its most urgent work first. */
-  teamRoom({ team, urgency }: Pick<JobSpec, 'team' | 'urgency'>): Fits {
+  /** What work of a team may still take: its limit goes to its most urgent work first, unless the whole of it is asked for. */
+  teamRoom({ team, urgency }: Pick<JobSpec, 'team' | 'urgency'>, whole = false): Fits {
     const cap = teamCap(this.settings, team);
     const use = this.teamUse.get(team);
     const owed = this.owed.get(team);
-    const first = owed && owed.urgency > urgencyRank[urgency] ? owed : { cpus: 0, gpus: 0 };
+    const first = !whole && owed && owed.urgency > urgencyRank[urgency] ? owed : { cpus: 0, gpus: 0 };
     return {
       cpus: cap.cpus - (use?.cpus ?? 0) - first.cpus,
       gpus: cap.gpus - (use?.gpus ?? 0) - first.gpus,
@@ -361,6 +361,7 @@
     const { job, chunk } = p;
     if (job.active.get(p.index) !== p) return;
     job.active.delete(p.index);
+    if (job.active.size === 0) job.waitsFrom = this.clock.wall;
     this.machines.get(p.host)?.placements.delete(pieceName(job.id, p.index));
     this.use(p, -1);
     chunk.version++;
--- a/src/core/books/jobs.ts
+++ b/src/core/books/jobs.ts
@@ -36,6 +36,7 @@
     anywhere: false,
     successes: 0,
     notBefore: 0,
+    waitsFrom: record.at,
     match: null,
   };
   for (let base = 0, n = 0; base < record.tasks; base += chunkTasks, n++) {
--- a/src/core/books/machines.ts
+++ b/src/core/books/machines.ts
@@ -29,6 +29,7 @@
   noticeAt: 0,
   avoidUntil: 0,
   idleSince: now,
+  roomSince: 0,
   failures: new Map(),
   images: new Map(),
   takenAt: now,
--- a/src/core/books/runs.ts
+++ b/src/core/books/runs.ts
@@ -78,6 +78,8 @@
   anywhere: boolean;
   successes: number;
   notBefore: number;
+  /** Since when all of it waits, if it does: time of day, ms. */
+  waitsFrom: number;
   /** What it asks of machines beyond type and place; null: nothing. */
   match: Match | null;
 }
@@ -102,6 +104,8 @@
   noticeAt: number;
   avoidUntil: number;
   idleSince: number;
+  /** Since when it has had room for something that waits, ms; 0: it has none. */
+  roomSince: number;
   /** How many tasks of which jobs failed on it since it last completed one. */
   failures: Map<string, number>;
   /** Images seen on it, and how long they take to fetch, s. */
--- a/src/core/demand.ts
+++ b/src/core/demand.ts
@@ -6,7 +6,7 @@
 import { limitsOf, slackS } from '../policy/deadlines.js';
 import { spotAllowed } from '../policy/guardrails.js';
 import { mostFailedKept, suspectMachines } from './blame.js';
-import { gpuMachineOpen } from '../policy/gpus.js';
+import { gpuMachineOpen, hasPlainType } from '../policy/gpus.js';
 import { inOrder, pressingS } from '../policy/order.js';
 import { anchorPrice, fetchS } from '../policy/pricing.js';
 import type { JobRecord } from './records.js';
@@ -39,7 +39,7 @@
   zone: string;
   spot: boolean;
   rooms: Room[];
-  /** The least that found no room here, with and without GPUs: who takes as much or more need not look. */
+  /** The least that found no room here, of what may and may not take empty machines with GPUs: who takes as much or more need not look. */
   full: Map<boolean, Fits>;
 }
 
@@ -176,7 +176,7 @@
           unmet.push({ spec, shard, count: spec.shape === 'gang' ? want : 1, zones: part.zones, slack: 0 });
           continue;
         }
-        for (const kind of here) want -= takeFrom(kind, spec, want);
+        for (const kind of here) want -= takeFrom(kind, spec, want, this.replica.types);
         const slack = this.slack(job);
         want -= this.soon(spec, slack, want, here);
         if (want > 0 && spec.shape === 'gang') this.keepFor(spec, shard, here, want);
@@ -245,7 +245,8 @@
     const room = (zone: string): number => {
       let n = 0;
       for (const k of kinds.values())
-        if (k.zone === zone && mayUse(spec, k.type, k.zone, k.spot)) n += countIn(k, spec, count - n);
+        if (k.zone === zone && mayUse(spec, k.type, k.zone, k.spot))
+          n += countIn(k, spec, count - n, this.replica.types);
       return n;
     };
     const obtainable = (zone: string): number =>
@@ -312,7 +313,11 @@
       const wait = Math.max(0, slack - fetchS(spec, kind.type));
       for (const r of kind.rooms) {
         if (served >= want) return served;
-        if (r.busy.cpus < spec.cpus || !gpuMachineOpen(spec, r.type, r.type.gpus - r.gpus)) continue;
+        if (
+          r.busy.cpus < spec.cpus ||
+          !gpuMachineOpen(spec, r.type, r.type.gpus - r.gpus, this.replica.types)
+        )
+          continue;
         const share = Math.min(1, wait / Math.max(r.runS, 1));
         // Whole tasks only: a gang of large tasks must not count on crumbs.
         const n = Math.min(want - served, Math.floor(timesFits(spec, r.busy) * share));
@@ -325,31 +330,36 @@
   }
 }
 
+/** Whether empty machines with GPUs are open to it. */
+const takesGpus = (spec: JobSpec, types: readonly MachineType[]): boolean =>
+  spec.gpus > 0 || !hasPlainType(spec, types);
+
 /** True if somebody who takes no more than this found the kind full already. */
-function isFull(kind: RoomKind, spec: JobSpec): boolean {
-  const f = kind.full.get(spec.gpus > 0);
+function isFull(kind: RoomKind, spec: JobSpec, types: readonly MachineType[]): boolean {
+  const f = kind.full.get(takesGpus(spec, types));
   return f !== undefined && f.cpus <= spec.cpus && f.gpus <= spec.gpus && f.memGb <= spec.memGb;
 }
 
 /** Takes room for up to `want` tasks; how many it was. */
-function takeFrom(kind: RoomKind, spec: JobSpec, want: number): number {
+function takeFrom(kind: RoomKind, spec: JobSpec, want: number, types: readonly MachineType[]): number {
   let got = 0;
-  if (want <= 0 || isFull(kind, spec)) return 0;
+  if (want <= 0 || isFull(kind, spec, types)) return 0;
   for (const room of kind.rooms) {
     if (got >= want) return got;
-    if (!gpuMachineOpen(spec, room.type, room.type.gpus - room.gpus)) continue;
+    if (!gpuMachineOpen(spec, room.type, room.type.gpus - room.gpus, types)) continue;
     const n = Math.min(want - got, timesFits(spec, room));
     if (n <= 0) continue;
     take(room, spec, n);
     got += n;
   }
-  if (got < want) kind.full.set(spec.gpus > 0, { cpus: spec.cpus, gpus: spec.gpus, memGb: spec.memGb });
+  if (got < want)
+    kind.full.set(takesGpus(spec, types), { cpus: spec.cpus, gpus: spec.gpus, memGb: spec.memGb });
   return got;
 }
 
-function countIn(kind: RoomKind, spec: JobSpec, most: number): number {
+function countIn(kind: RoomKind, spec: JobSpec, most: number, types: readonly MachineType[]): number {
   let n = 0;
-  if (most <= 0 || isFull(kind, spec)) return 0;
+  if (most <= 0 || isFull(kind, spec, types)) return 0;
   for (const room of kind.rooms) {
     n += timesFits(spec, room);
     if (n >= most) return most;
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -3,7 +3,6 @@
 import { isPremium, urgencyRank } from '../model/job.js';
 import { timesFits, type MachineRecord, type MachineType } from '../model/machine.js';
 import type { Report } from '../model/report.js';
-import { typeAllowed } from '../policy/admission.js';
 import { score } from '../policy/helios.js';
 import { Attempts, type Random, type RetryPolicy } from '../retry/index.js';
 import type { ListedMachine, RentRequest } from '../wire/cloud.js';
@@ -12,7 +11,7 @@
 import { Demand, emptyRoom, kindOf, mayUse, slotName, type Unmet } from './demand.js';
 import type { Clock, Effect, Log } from './effects.js';
 import { blockKey, machineKey } from './keys.js';
-import { gpuMachineOpen } from '../policy/gpus.js';
+import { gpuMachineOpen, hasPlainType } from '../policy/gpus.js';
 import { anchorPrice, candidate, fetchS, weights } from '../policy/pricing.js';
 import { blockData, machineData, typesData } from './records.js';
 import type { Machine, Replica } from './replica.js';
@@ -423,7 +422,7 @@
           (u.zones === null || u.zones.includes(m.zone)) &&
           mayUse(u.spec, type, m.zone, m.spot) &&
           // The placement would leave it idle.
-          gpuMachineOpen(u.spec, type, 0),
+          gpuMachineOpen(u.spec, type, 0, this.replica.types),
       );
       if (!user) {
         this.unwanted.add(m.host);
@@ -525,8 +524,7 @@
     let anchor = anchorPrice(spec, this.replica.types, (t) => t.zones.some((z) => open(t, z, false)));
     if (!Number.isFinite(anchor)) anchor = anchorPrice(spec, this.replica.types, () => true);
     // The dearest machines are not rented for work that others can do: the placement would not use them either.
-    const plain = this.replica.types.filter((t) => t.gpus <= 0 && typeAllowed(spec, t));
-    const gpuToo = spec.gpus > 0 || plain.length === 0;
+    const gpuToo = spec.gpus > 0 || !hasPlainType(spec, this.replica.types);
     // Spreads machines over zones; a tie-break only, however large the fleet.
     const balance = 1e-4 / [...perZone.values()].reduce((a, b) => a + b, 1);
     let best: (Slot & { s: number }) | null = null;
--- a/src/core/round/fit.ts
+++ b/src/core/round/fit.ts
@@ -44,6 +44,10 @@
 export const mayEmpty = (round: ShardRound, job: JobRun, type: MachineType): boolean =>
   type.gpus <= 0 || job.spec.gpus > 0 || round.keep === null || mayCrowd(round, job);
 
+/** Whether a machine may take a job's tasks, as far as its place and what the job asks for decide. */
+export const matches = (job: JobRun, m: MachineRun): boolean =>
+  (job.spec.zone === null || job.spec.zone === m.zone) && (job.match === null || job.match.allows(m.host));
+
 /**
  * Whether a machine may take a job's tasks, as far as its place, the job's past there and what waits with more urgency
  * decide.
@@ -51,9 +55,8 @@
 export const openTo = (books: Books, job: JobRun, m: MachineRun, floor = false): boolean =>
   (floor || (books.withheld.get(m.host) ?? 0) <= urgencyRank[job.spec.urgency]) &&
   (job.anywhere || !job.errors.has(m.host)) &&
-  (job.spec.zone === null || job.spec.zone === m.zone) &&
-  (job.match === null || job.match.allows(m.host)) &&
-  gpuMachineOpen(job.spec, m.type, m.used.gpus);
+  matches(job, m) &&
+  gpuMachineOpen(job.spec, m.type, m.used.gpus, books.replica.types);
 
 /** The policy's score of a kind of machine for a job, before tie-breaks between single machines. */
 function kindScore(
--- a/src/core/round/gangs.ts
+++ b/src/core/round/gangs.ts
@@ -1,5 +1,5 @@
 import { urgencyRank } from '../../model/job.js';
-import { timesFits } from '../../model/machine.js';
+import { timesFits, type Fits } from '../../model/machine.js';
 import { typeAllowed } from '../../policy/admission.js';
 import { limitsOf, slackS } from '../../policy/deadlines.js';
 import { spotAllowed, zoneOpen } from '../../policy/guardrails.js';
@@ -10,6 +10,7 @@
 import { roomOf } from '../books/machines.js';
 import type { JobRun, MachineRun } from '../books/runs.js';
 import { candidates, mayCrowd, openRoom, mayEmpty, openTo } from './fit.js';
+import { leftOver } from './leftover.js';
 import { claim, type ShardRound } from './shard.js';
 
 /** False: the gang waits for something else than room. */
@@ -20,44 +21,83 @@
 export function placeGang(job: JobRun, round: ShardRound): boolean {
   const { spec } = job;
   const { books, openings } = round;
+  if (!gangMayWait(books, job)) {
+    // Tasks of an earlier attempt hold their machines and zones until they are proven gone.
+    if (job.active.size === 0) placeLeftOver(job, round);
+    return true;
+  }
+  const crowd = mayCrowd(round, job);
+  const { hosts, zoneMost, total } = gather(job, candidates(job, round), (m) =>
+    openRoom(round, job, roomOf(books, m), crowd),
+  );
+  if (hosts !== null) {
+    placeOn(job, round, hosts);
+    return true;
+  }
+  if (placeLeftOver(job, round)) return true;
+  if (job.errors.size === 0 && job.match === null && !round.claimed.has(job.id))
+    openings.failed(spec, zoneMost, total);
+  return false;
+}
+
+/** A gang that has waited for long, on machines whose room nobody has taken for long. */
+function placeLeftOver(job: JobRun, round: ShardRound): boolean {
+  const { books } = round;
+  if (timesFits(job.spec, books.teamRoom(job.spec, true)) < waitingCount(job)) return false;
+  const { hosts } = gather(job, leftOver(job, round), (m) => roomOf(books, m));
+  if (hosts === null) return false;
+  books.log('info', 'room left over', { job: job.id, hosts });
+  placeOn(job, round, hosts);
+  return true;
+}
+
+function placeOn(job: JobRun, round: ShardRound, hosts: string[]): void {
+  const at: { index: number; host: string }[] = [];
+  for (const host of hosts) {
+    const index = nextWaiting(job);
+    if (index >= 0) at.push({ index, host });
+  }
+  round.books.place(job, at, nextGangAttempt(job));
+  round.openings.changed(new Set(hosts));
+  round.books.claims.end(job.id);
+}
+
+/** The first of some machines on which all of a gang has room, a host for each task; null: there are none. */
+function gather(
+  job: JobRun,
+  machines: Iterable<MachineRun>,
+  room: (m: MachineRun) => Fits,
+): { hosts: string[] | null; zoneMost: number; total: number } {
+  const { spec } = job;
   const need = waitingCount(job);
-  // Tasks of an earlier attempt hold their machines and zones until they are proven gone.
-  if (!gangMayWait(books, job)) return true;
   const hosts = new Map<string | null, string[]>();
   const taken = new Map<string | null, Map<string, number>>();
   const most = new Map<string, number>();
   let total = 0;
-  const crowd = mayCrowd(round, job);
-  for (const m of candidates(job, round)) {
+  const result = (found: string[] | null) => ({
+    hosts: found,
+    zoneMost: Math.max(0, ...most.values()),
+    total,
+  });
+  for (const m of machines) {
     const zone = spec.oneZone ? m.zone : null;
-    const room = timesFits(spec, openRoom(round, job, roomOf(books, m), crowd));
-    if (room === 0) continue;
-    total += room;
-    most.set(m.zone, (most.get(m.zone) ?? 0) + room);
+    const times = timesFits(spec, room(m));
+    if (times === 0) continue;
+    total += times;
+    most.set(m.zone, (most.get(m.zone) ?? 0) + times);
     if (!hosts.has(zone)) {
       hosts.set(zone, []);
       taken.set(zone, new Map());
     }
     const mine = hosts.get(zone)!;
     const zones = taken.get(zone)!;
-    for (let i = 0; i < room && mine.length < need && zoneOpen(spec, m.zone, zones); i++) {
+    for (let i = 0; i < times && mine.length < need && zoneOpen(spec, m.zone, zones); i++) {
       mine.push(m.host);
       zones.set(m.zone, (zones.get(m.zone) ?? 0) + 1);
     }
-    if (mine.length < need) continue;
-    const at: { index: number; host: string }[] = [];
-    for (const host of mine) {
-      const index = nextWaiting(job);
-      if (index >= 0) at.push({ index, host });
-    }
-    books.place(job, at, nextGangAttempt(job));
-    openings.changed(new Set(mine));
-    books.claims.end(job.id);
-    return true;
+    if (mine.length >= need) return result(mine);
   }
-  if (job.errors.size === 0 && job.match === null && !round.claimed.has(job.id))
-    openings.failed(spec, Math.max(0, ...most.values()), total);
-  return false;
+  return result(null);
 }
 
 /** The share of the machines that gangs could use which may be kept for gangs that wait. */
--- a/src/core/round/round.ts
+++ b/src/core/round/round.ts
@@ -10,6 +10,7 @@
 import { lifted } from './floors.js';
 import { gangMayWait, owe, placeGang, reserve } from './gangs.js';
 import { madeRoom, preempt } from './preemption.js';
+import { overdue } from './leftover.js';
 import { openShard, type Round, type ShardRound } from './shard.js';
 import { placeEach } from './singles.js';
 import { demandsNow } from './stopping.js';
@@ -88,7 +89,8 @@
     const round = roundOf(job.shard);
     const { openings } = round;
     const count = waitingCount(job);
-    const hopeless = !round.claimed.has(job.id) && openings.hopeless(job.spec, count);
+    const late = round.unused.length > 0 && overdue(books, job);
+    const hopeless = !late && !round.claimed.has(job.id) && openings.hopeless(job.spec, count);
     if (job.mending !== null) {
       placeEach(job, round);
       continue;
--- a/src/core/round/shard.ts
+++ b/src/core/round/shard.ts
@@ -1,10 +1,11 @@
 import type { JobSpec } from '../../model/job.js';
-import type { Fits, MachineType } from '../../model/machine.js';
+import { fits, type Fits, type MachineType } from '../../model/machine.js';
 import type { GpuShare } from '../../policy/gpus.js';
 import type { Books, Owed } from '../books/books.js';
 import { roomOf, usable } from '../books/machines.js';
 import { Openings } from '../openings.js';
 import type { JobRun, MachineRun } from '../books/runs.js';
+import { keptMs } from './patience.js';
 
 /** What holds for a whole round. */
 export interface Round {
@@ -24,6 +25,8 @@
   openings: Openings<MachineRun>;
   /** All machines that may be used and are not kept for anybody, also full ones, those that run empty soonest first. */
   all: MachineRun[];
+  /** Machines that may be used and have had room that nobody has taken for long, also those that are kept for somebody. */
+  unused: MachineRun[];
   /** Machines kept for a job that waits. */
   claimed: Map<string, MachineRun[]>;
   /** Types of the machines that may be used. */
@@ -41,8 +44,17 @@
   const all: MachineRun[] = [];
   const claimed = new Map<string, MachineRun[]>();
   const types = new Set<MachineType>();
+  const unused: MachineRun[] = [];
+  const { now } = books.clock;
   for (const m of books.machines.values()) {
-    if (m.record.shard !== shard || !usable(books, m)) continue;
+    if (m.record.shard !== shard) continue;
+    if (!usable(books, m)) {
+      m.roomSince = 0;
+      continue;
+    }
+    if (!fits(least, roomOf(books, m))) m.roomSince = 0;
+    else if (m.roomSince === 0) m.roomSince = now;
+    else if (now - m.roomSince > keptMs(books.settings)) unused.push(m);
     types.add(m.type);
     const claim = books.claims.held.get(m.host);
     if (!claim) all.push(m);
@@ -59,6 +71,7 @@
     ...round,
     openings,
     all,
+    unused,
     claimed,
     types,
     withheld: new Map(),
--- a/src/core/round/singles.ts
+++ b/src/core/round/singles.ts
@@ -1,10 +1,11 @@
-import { timesFits } from '../../model/machine.js';
+import { fits, timesFits } from '../../model/machine.js';
 import { zoneOpen } from '../../policy/guardrails.js';
 import { suspect } from '../blame.js';
 import { nextWaiting, waitingCount } from '../books/jobs.js';
 import { roomOf } from '../books/machines.js';
 import type { JobRun } from '../books/runs.js';
 import { candidates, eligible, mayCrowd, openRoom } from './fit.js';
+import { leftOver } from './leftover.js';
 import type { ShardRound } from './shard.js';
 
 export function placeEach(job: JobRun, round: ShardRound, withImage = false): void {
@@ -14,7 +15,7 @@
   // A job that only ever failed is tried one task at a time.
   left = Math.min(left, round.lifted.get(job) ?? Infinity);
   if (suspect(job)) left = Math.min(left, job.active.size === 0 ? 1 : 0);
-  if (left <= 0) return;
+  if (left <= 0) return placeLeftOver(job, round);
   const at: { index: number; host: string }[] = [];
   const taken = new Map(job.zones);
   const crowd = mayCrowd(round, job);
@@ -33,7 +34,23 @@
   openings.changed(new Set(at.map((a) => a.host)));
   if (waitingCount(job) === 0) books.claims.end(job.id);
   if (withImage) return;
+  if (at.length === 0) placeLeftOver(job, round);
   // What others ask for is not less because this job's machines are few.
   if (at.length < left && job.errors.size === 0 && job.match === null && !round.claimed.has(job.id))
     openings.failed(spec);
 }
+
+/** One task of a job that has waited for long, on a machine whose room nobody has taken for long. */
+function placeLeftOver(job: JobRun, round: ShardRound): void {
+  const { spec } = job;
+  const { books, openings } = round;
+  if (timesFits(spec, books.teamRoom(spec, true)) < 1) return;
+  for (const m of leftOver(job, round)) {
+    if (!fits(spec, roomOf(books, m)) || !zoneOpen(spec, m.zone, job.zones)) continue;
+    const index = nextWaiting(job);
+    if (index < 0) return;
+    books.log('info', 'room left over', { job: job.id, host: m.host });
+    books.place(job, [{ index, host: m.host }]);
+    return openings.changed(new Set([m.host]));
+  }
+}
--- a/src/core/upkeep.ts
+++ b/src/core/upkeep.ts
@@ -27,7 +27,9 @@
         for (const p of [...m.placements.values()]) this.books.gone(p, 'lease ended', 'lost');
       }
       // Guards against giving the fleet back for having stood idle through an outage: work waits for it.
-      if (m.placements.size === 0 && !this.books.canPlace()) m.idleSince = now;
+      // And against giving back, and being given again at once, what is kept for a gang that waits.
+      if (m.placements.size === 0 && (!this.books.canPlace() || this.books.claims.held.has(m.host)))
+        m.idleSince = now;
       if (m.record.standing !== 'use' || m.releasing) continue;
       const { pool } = this.books.settings;
       // Guards against a hasty new owner: before it was heard, a machine may be up under the earlier one.
--- a/src/policy/gpus.ts
+++ b/src/policy/gpus.ts
@@ -1,5 +1,6 @@
 import { isPremium, urgencyRank, type JobSpec } from '../model/job.js';
 import type { Fits, MachineType } from '../model/machine.js';
+import { typeAllowed } from './admission.js';
 import type { Queued } from './order.js';
 
 /** Work without GPUs that runs longer than so many boots of a GPU machine does not go there. */
@@ -10,10 +11,23 @@
  * are short. Alone it would keep the dearest machines rented for work that cheaper ones can do; long tasks would do so after
  * the GPU work is over.
  */
-export const gpuMachineOpen = (spec: JobSpec, type: MachineType, gpusBusy: number): boolean =>
+export const gpuMachineOpen = (
+  spec: JobSpec,
+  type: MachineType,
+  gpusBusy: number,
+  types: readonly MachineType[],
+): boolean =>
   spec.gpus > 0 ||
   type.gpus <= 0 ||
-  (gpusBusy > 0 && (spec.shape !== 'array' || spec.estimateS <= companyBoots * type.bootS));
+  (gpusBusy > 0 && (spec.shape !== 'array' || spec.estimateS <= companyBoots * type.bootS)) ||
+  // Guards against work that nothing else fits: it would be accepted, and never run.
+  !hasPlainType(spec, types);
+
+/** Whether work without GPUs fits a type of machine that has none. */
+export const hasPlainType = (spec: JobSpec, types: readonly MachineType[]): boolean =>
+  types.some(
+    (t) => t.gpus <= 0 && typeAllowed(spec, t) && (spec.zone === null || t.zones.includes(spec.zone)),
+  );
 
 /** What waiting GPU work needs beside each GPU. */
 export interface GpuShare {
--- a/test/policy.test.ts
+++ b/test/policy.test.ts
@@ -130,13 +130,14 @@
 
 test('a GPU machine takes short work as company for GPU tasks, not long arrays that would keep it rented after them', () => {
   const gpuBox = { ...box, gpus: 4, bootS: 40 };
+  const types = [box, gpuBox];
   const short = spec('req-1', { estimateS: 40 });
   const long = spec('req-2', { estimateS: 300 });
-  assert.equal(gpuMachineOpen(short, gpuBox, 1), true);
-  assert.equal(gpuMachineOpen(short, gpuBox, 0), false);
-  assert.equal(gpuMachineOpen(long, gpuBox, 1), false);
-  assert.equal(gpuMachineOpen(spec('req-3', { estimateS: 300, gpus: 1 }), gpuBox, 0), true);
-  assert.equal(gpuMachineOpen(long, box, 0), true);
+  assert.equal(gpuMachineOpen(short, gpuBox, 1, types), true);
+  assert.equal(gpuMachineOpen(short, gpuBox, 0, types), false);
+  assert.equal(gpuMachineOpen(long, gpuBox, 1, types), false);
+  assert.equal(gpuMachineOpen(spec('req-3', { estimateS: 300, gpus: 1 }), gpuBox, 0, types), true);
+  assert.equal(gpuMachineOpen(long, box, 0, types), true);
 });
 
 // Guards against a day of many urgent gangs on which a few large ones that were late already kept all others waiting.
--- /dev/null
+++ b/test/room.test.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { JobSpec } from '../src/model/job.js';
+import { longWorld } from './meetings.js';
+import { Traffic } from './traffic.js';
+import { mostWaitMs, Waiting } from './waiting.js';
+import { box, type World } from './world.js';
+
+/** A world whose fleet is full grown, and jobs that come one after the other. */
+function stage(
+  capacity: number,
+  jobs: Partial<JobSpec>[],
+  prepare: (w: World) => void = () => undefined,
+): void {
+  const w = longWorld(1, { capacity, prepare });
+  const users = new Traffic(w, 1000, (n) => ({ tasks: 1, ...jobs[n - 100] }), 1e9);
+  w.play(jobs.length + 0.5);
+  users.stop();
+  const waiting = new Waiting(w, users);
+  w.play((3 * mostWaitMs) / 1000);
+  waiting.stop();
+  assert.deepEqual(w.broken, []);
+  if (process.env['MEETING_TELL'])
+    console.log(
+      waiting.mostMs,
+      [...w.workers.values()].map((m) => `${m.host} ${[...m.tasks.keys()].join(' ')}`),
+    );
+  assert.ok(waiting.mostMs < mostWaitMs, `${waiting.mostMs} ms`);
+}
+
+// Each of these keeps room for something that may never come: none may do so for long while other work waits.
+
+test('a machine that is kept for a gang which finds no second one', () => {
+  stage(2, [
+    { team: 'blue', cpus: 8, urgency: 'high' },
+    { team: 'blue', cpus: 8, tasks: 2, shape: 'gang', urgency: 'high' },
+    { team: 'blue', cpus: 1 },
+  ]);
+});
+
+test('the limit of a team that is kept for its urgent gang', () => {
+  stage(2, [
+    { team: 'blue', cpus: 8, urgency: 'high' },
+    { team: 'red', cpus: 8, tasks: 2, shape: 'gang', urgency: 'high', deadlineS: 1 },
+    { team: 'red', cpus: 1, urgency: 'low' },
+  ]);
+});
+
+test('a machine on which a task failed once', () => {
+  let failed = false;
+  stage(
+    1,
+    Array.from({ length: 6 }, () => ({ team: 'blue', cpus: 1 })),
+    (w) => {
+      const sick = (is: boolean): void => w.workers.forEach((m) => (m.sick = is));
+      w.after(7000, () => sick(true));
+      w.after(20_000, () => sick(false));
+      w.after(20_000, () => {
+        failed = w.nodes.some((n) => n.logged.some((l) => l[2]?.['why'] === 'error'));
+        assert.ok(w.running('req-100').length > 0);
+      });
+    },
+  );
+  assert.ok(failed, 'it did fail there');
+});
+
+const gpuBox = { ...box, name: 'gpu-box', gpus: 2, price: 5, spotPrice: 2 };
+
+test('the room beside GPUs that nobody can use', () => {
+  stage(
+    1,
+    [
+      { team: 'blue', cpus: 1, gpus: 1 },
+      { team: 'blue', cpus: 4, gpus: 1, tasks: 4, shape: 'gang' },
+      { team: 'blue', cpus: 4, estimateS: 10 },
+    ],
+    (w) => (w.types = [gpuBox]),
+  );
+});
+
+test('a GPU machine for work without GPUs, where there is no other', () => {
+  stage(
+    1,
+    [
+      { team: 'blue', cpus: 1, gpus: 1 },
+      { team: 'blue', cpus: 2, estimateS: 5000 },
+    ],
+    (w) => (w.types = [box, gpuBox]),
+  );
+});
+
+test('a GPU machine for work without GPUs that nothing else fits', () => {
+  for (const over of [{ types: ['gpu-box'] }, { memGb: 64 }])
+    stage(1, [{ team: 'blue', cpus: 2, estimateS: 5000, ...over }], (w) => {
+      w.types = [box, { ...gpuBox, memGb: 128 }];
+      w.after(120_000, () => assert.equal(w.running('req-100').length, 1));
+    });
+});
