Single tasks that have waited for long go to one unused machine until it is full, another a lease later

Guards the machines that run empty for a gang: in an overload most small jobs have waited for long, and would take all of them at once.

--- a/src/core/books/books.ts
+++ b/src/core/books/books.ts
@@ -76,6 +76,9 @@
   readonly doneOf = new Map<string, number>();
   private readonly chunkTasks: number;
 
+  /** The machine whose unused room single tasks that have waited for long go to, and since when, ms. */
+  opened = { host: '', at: -Infinity };
+
   /** What teams and classes have had of the room of late. */
   readonly floors: Floors;
 
--- a/src/core/round/singles.ts
+++ b/src/core/round/singles.ts
@@ -5,7 +5,7 @@
 import { roomOf } from '../books/machines.js';
 import type { JobRun } from '../books/runs.js';
 import { candidates, eligible, mayCrowd, openRoom } from './fit.js';
-import { leftOver } from './leftover.js';
+import { leftOver, open } from './leftover.js';
 import type { ShardRound } from './shard.js';
 
 export function placeEach(job: JobRun, round: ShardRound, withImage = false): void {
@@ -51,6 +51,7 @@
     if (index < 0) return;
     books.log('info', 'room left over', { job: job.id, host: m.host });
     books.place(job, [{ index, host: m.host }]);
+    open(round, m);
     return openings.changed(new Set([m.host]));
   }
 }
