An end counts only under the present token; no second zone beside an unknown one; no starts from an old view

Causes, found by reading the ways in which a report or a record is taken for proof: - A copy of a report from an earlier session that a new owner hears first lists a gang's task as exited. A gang that was mended has the same attempt there again: the gang was taken for broken, and the attempt that goes on counted as gone, so that its task could have been started elsewhere (ran_twice). - A task on a machine whose record is lost was in no zone: a job bound to one zone got tasks in another (wrong_place, shown by the test with the code before). - A controller that is cut off went on handing out starts that were durable until its view was too old to answer workers at all; users may have had a cancellation confirmed by others meanwhile. Change: that a task ended, other than by being done, is taken only from a report under our token; a placement keeps the zone it was entered with, and a job bound to zones is not placed while one is unknown; starts need a view that is younger than the state lease, or vouched for.

--- a/src/core/books/books.ts
+++ b/src/core/books/books.ts
@@ -285,6 +285,7 @@
       index: p.index,
       attempt: p.attempt,
       host: p.host,
+      zone: (this.machines.get(p.host)?.record ?? this.replica.machines.get(p.host))?.zone ?? null,
       chunk,
       version: own ? chunk.version : 0,
       own,
@@ -315,8 +316,8 @@
     }
     const rank = urgencyRank[spec.urgency];
     this.activeBy.set(rank, (this.activeBy.get(rank) ?? 0) + sign);
-    const zone = m?.record.zone ?? this.replica.machines.get(p.host)?.zone;
-    if (zone !== undefined) p.job.zones.set(zone, (p.job.zones.get(zone) ?? 0) + sign);
+    if (p.zone !== null) p.job.zones.set(p.zone, (p.job.zones.get(p.zone) ?? 0) + sign);
+    else p.job.astray += sign;
     if (m && m.placements.size === 0) m.idleSince = this.clock.now;
   }
 
--- a/src/core/books/jobs.ts
+++ b/src/core/books/jobs.ts
@@ -27,6 +27,7 @@
     retry: new Set(),
     done: 0,
     zones: new Map(),
+    astray: 0,
     finishing: false,
     frozen: false,
     breaking: false,
--- a/src/core/books/runs.ts
+++ b/src/core/books/runs.ts
@@ -12,6 +12,8 @@
   index: number;
   attempt: number;
   host: string;
+  /** The zone of its machine, as far as that was known when it was entered. */
+  zone: string | null;
   chunk: Chunk;
   /** The chunk's version that first holds it: durable once that version is. */
   version: number;
@@ -63,6 +65,8 @@
   retry: Set<number>;
   done: number;
   zones: Map<string, number>;
+  /** Tasks on machines of which no record says in which zone they are. */
+  astray: number;
   finishing: boolean;
   /** Something of it cannot be read (any more): what is placed stays counted, and nothing is done about it. */
   frozen: boolean;
--- a/src/core/checkins.ts
+++ b/src/core/checkins.ts
@@ -47,8 +47,12 @@
     for (const [piece, p] of [...m.placements]) {
       if (p.job.frozen) continue;
       const t = listed.get(piece);
-      if (t?.attempt === p.attempt) this.observe(m, p, t);
-      else if (proof && (p.sent === null || later(report, p.sent))) this.absent(m, p);
+      // Guards against the old copy that a new owner hears first: a gang that was mended has the same attempt there again.
+      // That a task was completed stays true; that it ended otherwise counts only under our token.
+      const ended = t?.phase === 'exited' && t.why !== 'done';
+      if (t?.attempt === p.attempt) {
+        if (proof || !ended) this.observe(m, p, t);
+      } else if (proof && (p.sent === null || later(report, p.sent))) this.absent(m, p);
     }
     for (const [piece, t] of listed) {
       const p = m.placements.get(piece);
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -169,7 +169,7 @@
     this.fleet.mayReturn = () => this.rebuilding.sureOfAbsence;
     this.neighbours.jobs = () => this.rebuilding.jobs;
     this.dispatcher.books.canPlace = () => !this.view.stale;
-    this.dispatcher.books.mayStart = () => this.rebuilding.sureOfAbsence;
+    this.dispatcher.books.mayStart = () => this.rebuilding.sureOfAbsence && this.view.current;
     this.desk.sureOfAbsence = () => this.rebuilding.sureOfAbsence;
     committer.conflicted = (failed, epoch) => this.rebuilding.conflicted(failed, epoch);
     this.mostSockets = limits.sockets.most;
--- a/src/core/round/round.ts
+++ b/src/core/round/round.ts
@@ -123,5 +123,7 @@
   !j.finishing &&
   !j.frozen &&
   !j.breaking &&
+  // Guards against a second zone for a job whose tasks may be in one that is not known.
+  !(j.astray > 0 && (j.spec.oneZone || j.spec.apart)) &&
   j.notBefore <= books.clock.now &&
   waitingCount(j) > 0;
--- a/src/core/view.ts
+++ b/src/core/view.ts
@@ -39,6 +39,11 @@
     return this.ageMs > this.ttlMs;
   }
 
+  /** New enough for work to be started: whoever was cut off may not know of a cancellation. */
+  get current(): boolean {
+    return !this.stale || this.vouchedFor;
+  }
+
   get ageMs(): number {
     return this.clock.now - this.at;
   }
--- /dev/null
+++ b/test/proof.test.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { kill, longWorld } from './meetings.js';
+import { ownerOf } from './rolls.js';
+import { spec } from './world.js';
+
+// Guards against the old copy of a report that a new owner hears before anything else of a machine: a gang that was mended
+// has the attempt there again that had ended in an earlier session.
+test('an end that an old report tells of counts only under the present token', () => {
+  const w = longWorld(1);
+  const gang = spec('req-1', { team: 'blue', shape: 'gang', tasks: 2, cpus: 8 });
+  assert.equal(w.nodes[0].submit(gang)?.status, 201);
+  assert.ok(w.playUntil(() => w.running('req-1').length === 2, 60));
+  w.play(5);
+  const [m] = [...w.workers.values()];
+  const old = m.report();
+  old.tasks = old.tasks.map((t) => ({ ...t, phase: 'exited', why: 'alone' }));
+  for (const x of w.workers.values()) x.silent = true;
+  const was = ownerOf(w)!;
+  kill(w, was);
+  assert.ok(w.playUntil(() => ownerOf(w) !== undefined, 20));
+  const owner = ownerOf(w)!;
+  owner.push({ c: 'checkin', rid: ++w.rids, report: old });
+  w.play(0.1);
+  for (const x of w.workers.values()) x.silent = false;
+  was.boot();
+  w.play(30);
+  assert.deepEqual(
+    owner.logged.filter(([, what]) => what === 'gang broken'),
+    [],
+  );
+  for (const x of w.workers.values())
+    for (const t of x.tasks.values()) assert.equal(`${t.report.attempt} ${t.report.phase}`, '1 running');
+  assert.deepEqual(w.broken, []);
+});
+
+// Guards against a second zone for a job that has tasks on a machine whose record is lost: nobody knows which zone that is.
+test('a job of one zone gets no second one while some of its tasks are in an unknown one', () => {
+  const w = longWorld(2, {
+    capacity: 0,
+    prepare: (world) => ['north', 'south'].forEach((zone) => world.addWorker('box', zone, false)),
+  });
+  for (const zone of ['north', 'south']) {
+    const held = spec(`req-1${zone.length}${zone === 'north' ? 0 : 1}`, { team: 'blue', tasks: 1, zone });
+    assert.equal(w.nodes[0].submit(held)?.status, 201);
+  }
+  assert.ok(w.playUntil(() => [...w.workers.values()].every((x) => x.tasks.size === 1), 60));
+  const job = spec('req-2', { team: 'blue', tasks: 8, cpus: 2, oneZone: true });
+  assert.equal(w.nodes[0].submit(job)?.status, 201);
+  assert.ok(w.playUntil(() => w.running('req-2').length === 3, 30));
+  w.play(5);
+  const lost = w.workers.get(w.running('req-2')[0].host)!;
+  for (const n of w.nodes) kill(w, n);
+  w.play(0.1);
+  lost.silent = w.cloudDown = true;
+  // What hung on leases is gone, too.
+  const all = w.state
+    .items()
+    .filter((c) => c.key !== `dp/m/${lost.host}` && !/^dp\/(node|chief)/.test(c.key));
+  w.state.lose(
+    all.map((c) => [c.key, c]),
+    w.state.epoch,
+  );
+  for (const n of w.nodes) n.boot();
+  w.play(13);
+  lost.silent = false;
+  w.cloudDown = false;
+  w.play(60);
+  assert.deepEqual(w.broken, []);
+  assert.ok(
+    w.playUntil(() => w.running('req-2').length >= 3, 60),
+    'goes on',
+  );
+});
