--- a/src/core/books/books.ts
+++ b/src/core/books/books.ts
@@ -2,7 +2,7 @@
 import type { Operators } from '../../config/operators.js';
 import type { Settings } from '../../config/settings.js';
 import { pieceName, urgencyRank, type JobSpec } from '../../model/job.js';
-import type { Fits } from '../../model/machine.js';
+import { fits, type Fits } from '../../model/machine.js';
 import type { Matcher } from '../../policy/matching.js';
 import { teamCap } from '../../policy/admission.js';
 import { zoneOpen } from '../../policy/guardrails.js';
@@ -37,6 +37,8 @@
 /** Of the tasks that one record may hold: jobs of so many keep them in their own, beside the description. */
 const wholeShare = 1 / 8;
 
+const nothing: Fits = { cpus: 0, gpus: 0, memGb: 0 };
+
 /** The jobs and machines of the shards of this process: what is placed where, what is durable, what waits. */
 export class Books {
   readonly jobs = new Map<string, JobRun>();
@@ -340,8 +342,7 @@
    * up, placed others in the room of the team's limit, or elsewhere, and ended before it had written that the first was gone.
    */
   stillFits({ job: { spec, zones }, zone }: Placement): boolean {
-    const { cpus, gpus } = this.teamRoom(spec, true);
-    if (cpus < -1e-6 || gpus < -1e-6 || zone === null) return false;
+    if (zone === null || !fits(nothing, this.teamRoom(spec, true))) return false;
     return zoneOpen(spec, zone, new Map(zones).set(zone, (zones.get(zone) ?? 1) - 1));
   }
 
