Scale run: real controllers against stand-ins, hollow workers and users

Faults: owner, leader, roll, state, tenth, zone. Figures as a table and as JSON, latencies by hdr-histogram-js, the use of each process from /proc, the generators' own lag beside them. What the machine cannot hold is refused.

The store's HTTP server takes a gate (rate limits, sizes, outages), and an engine can renew all leases, as after an outage. Ruled out: one generator process (a worker's report is a request, 2,000 a second need two), a shared connection (a controller holds one for each worker). Not in it: gangs, GPUs, real agents.

--- /dev/null
+++ b/scale/cloud.ts
@@ -0,0 +1,143 @@
+/** The stand-in of the cloud: rents machines of one type, lists them late, gives them back when their workers are gone. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { readJson, replyJson } from '../src/net/json.js';
+import type { Random } from '../src/retry/index.js';
+import type { MachineSpec, PlatformStart } from './messages.js';
+import { TokenBucket } from './stateservice.js';
+
+export const machineType = 'node';
+const gbPerCpu = 4;
+const bootMs = { least: 1500, most: 4000 };
+/** A machine that died is listed as running for so long. */
+const deadListedMs = 30_000;
+const burstS = 2;
+const mostBody = 64 * 1024;
+
+interface Machine extends MachineSpec {
+  rentedAt: number;
+  endpoint: string;
+  up: boolean;
+  diedAt: number | null;
+}
+
+interface RentalRequest {
+  hire: string;
+  yard: string;
+  loaners: boolean;
+  howMany: number;
+}
+
+interface Answer {
+  status: number;
+  body: object;
+}
+
+export interface CloudListener {
+  booted(machine: MachineSpec): void;
+  /** Resolves when all that was on these machines is gone. */
+  remove(hosts: string[]): Promise<void>;
+}
+
+export class StandInCloud {
+  readonly server: Server;
+  private readonly machines = new Map<string, Machine>();
+  private readonly rentals = new Map<string, string[]>();
+  private readonly removedAt = new Map<string, Machine & { removedAt: number }>();
+  private readonly requests: TokenBucket;
+  private count = 0;
+
+  constructor(
+    private readonly limits: PlatformStart,
+    private readonly random: Random,
+    private readonly listener: CloudListener,
+  ) {
+    this.requests = new TokenBucket(limits.cloudRequestsPerS, undefined, burstS);
+    this.server = createServer((req, res) => void this.serve(req, res));
+  }
+
+  listening(host: string, endpoint: string): void {
+    const machine = this.machines.get(host);
+    if (machine) Object.assign(machine, { endpoint, up: true });
+  }
+
+  died(host: string): void {
+    const machine = this.machines.get(host);
+    if (machine) machine.diedAt = performance.now();
+  }
+
+  private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const url = new URL(req.url ?? '/', 'http://cloud');
+    const body = req.method === 'POST' ? await readJson(req, mostBody) : null;
+    const answer = this.requests.take(1)
+      ? await this.answer(`${req.method} ${url.pathname}`, url.searchParams, body)
+      : { status: 429, body: { error: 'too many requests' } };
+    replyJson(res, answer.status, answer.body);
+  }
+
+  private async answer(route: string, query: URLSearchParams, body: unknown): Promise<Answer> {
+    if (route === 'GET /machine_types') return { status: 200, body: this.types() };
+    if (route === 'POST /rentals') return this.rent(body as RentalRequest);
+    if (route === 'GET /rentals') return { status: 200, body: this.list(query) };
+    if (route === 'POST /rentals/delete') return this.remove((body as { hosts: string[] }).hosts);
+    return { status: 404, body: { error: 'not found' } };
+  }
+
+  private types(): object {
+    const { cpusOfMachine: cpus, zones: yards } = this.limits;
+    const rate = { price: 1, marketPrice: 1, bootS: bootMs.most / 1000, fetchGbPerS: 1 };
+    const size = { cpus, cards: 0, memGb: cpus * gbPerCpu, localGb: 100 };
+    return { flavours: [{ name: machineType, ...size, ...rate, yards }] };
+  }
+
+  private rent({ hire, yard, loaners, howMany }: RentalRequest): Answer {
+    const before = this.rentals.get(hire);
+    if (before) return { status: 200, body: { hosts: before } };
+    const { machines: capacity, zones } = this.limits;
+    const inZone = [...this.machines.values()].filter((m) => m.zone === yard).length;
+    const free = Math.ceil(capacity / zones.length) - inZone;
+    const count = Math.min(howMany, free, capacity - this.machines.size);
+    if (loaners || count <= 0) return { status: 503, body: { error: 'no capacity' } };
+    const hosts = Array.from({ length: count }, () => this.boot(yard));
+    this.rentals.set(hire, hosts);
+    return { status: 200, body: { hosts } };
+  }
+
+  private boot(zone: string): string {
+    const host = `n-${String(++this.count).padStart(6, '0')}`;
+    const machine = { host, zone, rentedAt: performance.now(), endpoint: '', up: false, diedAt: null };
+    this.machines.set(host, machine);
+    const afterMs = bootMs.least + this.random() * (bootMs.most - bootMs.least);
+    setTimeout(() => this.machines.has(host) && this.listener.booted({ host, zone }), afterMs);
+    return host;
+  }
+
+  private async remove(hosts: string[]): Promise<Answer> {
+    const known = hosts.filter((host) => this.machines.has(host));
+    await this.listener.remove(known);
+    for (const host of known) {
+      const machine = this.machines.get(host);
+      if (machine) this.removedAt.set(host, { ...machine, removedAt: performance.now() });
+      this.machines.delete(host);
+    }
+    return { status: 200, body: {} };
+  }
+
+  private list(query: URLSearchParams): object {
+    const at = performance.now() - this.limits.listLagS * 1000;
+    for (const [host, gone] of this.removedAt) if (gone.removedAt <= at) this.removedAt.delete(host);
+    const from = query.get('from') ?? '';
+    const limit = Math.min(500, Number(query.get('limit') ?? 500));
+    const all = [...this.machines.values(), ...this.removedAt.values()]
+      .filter((m) => m.rentedAt <= at && m.host > from)
+      .sort((a, b) => (a.host < b.host ? -1 : 1));
+    return { hosts: all.slice(0, limit).map((m) => this.listed(m, at)), hasNext: all.length > limit };
+  }
+
+  private listed(m: Machine, at: number): object {
+    const failed = m.diedAt !== null && at - m.diedAt > deadListedMs;
+    const status = failed ? 'failed' : m.up ? 'running' : 'starting';
+    const ageS = (at - m.rentedAt) / 1000;
+    const { host: nameId, endpoint, zone: yard } = m;
+    return { nameId, endpoint, flavour: machineType, yard, loaners: false, status, ageS };
+  }
+}
--- /dev/null
+++ b/scale/figures.ts
@@ -0,0 +1,170 @@
+/** What a run measures: latencies as histograms, use of each process over the measured time, and the table of them. */
+import { build, type Histogram } from 'hdr-histogram-js';
+import type { PlatformCounts, WorkerCounts } from './messages.js';
+import type { ProcessUse } from './processes.js';
+
+const highestMs = 3_600_000;
+
+export interface Quantiles {
+  count: number;
+  p50Ms: number;
+  p99Ms: number;
+  maxMs: number;
+}
+
+export class Latency {
+  private readonly histogram: Histogram = build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: highestMs,
+    numberOfSignificantValueDigits: 3,
+  });
+
+  record(ms: number): void {
+    this.histogram.recordValue(Math.min(highestMs, Math.max(0, Math.round(ms))));
+  }
+
+  get quantiles(): Quantiles {
+    const { histogram } = this;
+    return {
+      count: histogram.totalCount,
+      p50Ms: histogram.getValueAtPercentile(50),
+      p99Ms: histogram.getValueAtPercentile(99),
+      maxMs: histogram.totalCount > 0 ? histogram.maxValue : 0,
+    };
+  }
+}
+
+export interface ProcessFigures {
+  name: string;
+  cores: number;
+  residentMb: number;
+  kbInPerS: number;
+  kbOutPerS: number;
+  openFiles: number;
+}
+
+/** The use of a process between two readings, and the most that it held. */
+export function processFigures(
+  name: string,
+  before: ProcessUse,
+  after: ProcessUse,
+  seconds: number,
+): ProcessFigures {
+  return {
+    name,
+    cores: (after.cpuS - before.cpuS) / seconds,
+    residentMb: Math.max(before.residentMb, after.residentMb),
+    kbInPerS: (after.bytesIn - before.bytesIn) / 1024 / seconds,
+    kbOutPerS: (after.bytesOut - before.bytesOut) / 1024 / seconds,
+    openFiles: Math.max(before.openFiles, after.openFiles),
+  };
+}
+
+export interface FaultFigures {
+  fault: string;
+  atS: number;
+  /** From the fault until a task was started again, and until the slowest worker had its lease renewed. */
+  firstStartMs: number | null;
+  slowestRenewalMs: number | null;
+  workersNotRenewed: number;
+}
+
+export interface CellFigures {
+  cell: number;
+  startsAskedPerS: number;
+  startsPerS: number;
+  running: number;
+  workers: number;
+  acceptedJobs: number;
+  submissionsGivenUp: number;
+  requestsUnavailable: number;
+  submit: Quantiles;
+  urgentStart: Quantiles;
+  /** The parts of it: submission to answer, to the first placement that is stored, to the start on the machine. */
+  urgentSteps: { accepted: Quantiles; placed: Quantiles; started: Quantiles };
+  cancel: Quantiles;
+  reportsPerS: number;
+  failedReports: number;
+  expiredLeases: number;
+  tasksLostWithLeases: number;
+  state: PlatformCounts & { requestsPerS: number; writesPerS: number; writesPerStart: number };
+  processes: ProcessFigures[];
+  generatorLagP99Ms: number;
+  generatorLagMaxMs: number;
+  unexpectedEnds: number;
+  faults: FaultFigures[];
+  violations: string[];
+}
+
+export const noWorkers: WorkerCounts = {
+  workers: 0,
+  running: 0,
+  reports: 0,
+  failedReports: 0,
+  orders: 0,
+  expiredLeases: 0,
+  tasksLostWithLeases: 0,
+  renewedSinceMark: 0,
+  slowestRenewalMs: 0,
+};
+
+/** What several processes of workers have counted together. */
+export function sumOf(all: WorkerCounts[]): WorkerCounts {
+  const sum = { ...noWorkers };
+  for (const counts of all)
+    for (const key of Object.keys(sum) as (keyof WorkerCounts)[])
+      sum[key] = key === 'slowestRenewalMs' ? Math.max(sum[key], counts[key]) : sum[key] + counts[key];
+  return sum;
+}
+
+const ms = ({ count, p50Ms, p99Ms, maxMs }: Quantiles): string =>
+  `p50 ${p50Ms} ms, p99 ${p99Ms} ms, max ${maxMs} ms (${count})`;
+
+function processLine(p: ProcessFigures): string {
+  const numbers = [
+    p.cores.toFixed(3),
+    p.residentMb.toFixed(0),
+    p.kbInPerS.toFixed(0),
+    p.kbOutPerS.toFixed(0),
+  ];
+  const columns = [...numbers, String(p.openFiles)].map((text) => text.padStart(9));
+  return `  ${p.name.padEnd(14)}${columns.join('')}`;
+}
+
+function faultLine(f: FaultFigures): string {
+  const took = (x: number | null): string => (x === null ? 'not seen' : `${Math.round(x)} ms`);
+  const renewed = `slowest lease renewed after ${took(f.slowestRenewalMs)}, ${f.workersNotRenewed} not renewed`;
+  return `  fault ${f.fault} at ${f.atS.toFixed(0)} s: next start after ${took(f.firstStartMs)}, ${renewed}`;
+}
+
+const kindsOf = ({ writesByKind }: PlatformCounts): string =>
+  Object.entries(writesByKind)
+    .sort(([, a], [, b]) => b - a)
+    .map(([kind, count]) => `${kind} ${count}`)
+    .join(', ');
+
+/** The figures of a cell as lines for a person. */
+export function tableOf(f: CellFigures): string[] {
+  const { state } = f;
+  return [
+    `cell ${f.cell}: ${f.workers} hollow workers, ${f.running} running tasks at the end`,
+    `  starts            ${f.startsPerS.toFixed(1)} a second of ${f.startsAskedPerS} asked`,
+    `  submit            ${ms(f.submit)}`,
+    `  urgent start      ${ms(f.urgentStart)}`,
+    `    to its answer   ${ms(f.urgentSteps.accepted)}`,
+    `    to the placement ${ms(f.urgentSteps.placed)}`,
+    `    to the start    ${ms(f.urgentSteps.started)}`,
+    `  cancel            ${ms(f.cancel)}`,
+    `  users             ${f.acceptedJobs} jobs accepted, ${f.submissionsGivenUp} given up, ${f.requestsUnavailable} requests without an answer of use`,
+    `  reports           ${f.reportsPerS.toFixed(0)} a second, ${f.failedReports} without an answer that counts`,
+    `  leases            ${f.expiredLeases} expired, ${f.tasksLostWithLeases} tasks lost with them`,
+    `  state service     ${state.requestsPerS.toFixed(1)} requests/s, ${state.writesPerS.toFixed(1)} writes/s, ${state.writesPerStart.toFixed(3)} a start; refused ${state.refusedRequests} requests, ${state.refusedWrites} writes; ${state.keys} keys`,
+    `  writes by kind    ${kindsOf(state)}`,
+    `  ${'process'.padEnd(14)}${['cores', 'MB', 'KB/s in', 'KB/s out', 'files'].map((h) => h.padStart(9)).join('')}`,
+    ...f.processes.map(processLine),
+    `  generators' own lag: p99 ${f.generatorLagP99Ms.toFixed(0)} ms, max ${f.generatorLagMaxMs.toFixed(0)} ms`,
+    ...(f.unexpectedEnds > 0 ? [`  controllers that ended by themselves: ${f.unexpectedEnds}`] : []),
+    ...f.faults.map(faultLine),
+    ...f.violations.map((text) => `  RULE BROKEN ${text}`),
+  ];
+}
--- /dev/null
+++ b/scale/main.ts
@@ -0,0 +1,20 @@
+/** `npm run scale`: the controllers at the planned size, on this machine. */
+import { writeFileSync } from 'node:fs';
+import { tableOf } from './figures.js';
+import { parseOptions, ScaleError } from './options.js';
+import { play } from './run.js';
+
+const say = (line: string): void => void process.stdout.write(`${line}\n`);
+
+try {
+  const options = parseOptions(process.argv.slice(2));
+  const result = await play(options, say);
+  for (const cell of result.cells) for (const line of tableOf(cell)) say(line);
+  if (options.json !== null) writeFileSync(options.json, `${JSON.stringify(result, null, 1)}\n`);
+  say(result.ok ? 'no rule broken' : 'FAILED: a rule was broken, or a controller ended by itself');
+  process.exit(result.ok ? 0 : 1);
+} catch (e) {
+  if (!(e instanceof ScaleError)) throw e;
+  process.stderr.write(`scale: ${e.message}\n`);
+  process.exit(2);
+}
--- /dev/null
+++ b/scale/platform.ts
@@ -0,0 +1,77 @@
+/** The process of the platform's stand-ins: a state service and a cloud on loopback. */
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { chiefKey, leadKey, shardKey } from '../src/core/keys.js';
+import { seeded } from '../src/retry/index.js';
+import { lagMeter, listenToParent, tellParent } from './child.js';
+import { StandInCloud } from './cloud.js';
+import type { FromPlatform, PlatformStart, ToPlatform } from './messages.js';
+import { StandInStateService } from './stateservice.js';
+
+const addressOf = (server: Server): string => `127.0.0.1:${(server.address() as AddressInfo).port}`;
+
+const tellPlaced = (job: string, at: number): void =>
+  tellParent<FromPlatform>({ kind: 'placed', jobs: [[job, at]] });
+
+class Platform {
+  private readonly removals = new Map<number, () => void>();
+  private removalCount = 0;
+  private readonly lag = lagMeter();
+
+  private constructor(
+    private readonly state: StandInStateService,
+    private cloud: StandInCloud | null,
+  ) {}
+
+  static async start(options: PlatformStart): Promise<Platform> {
+    const platform = new Platform(await StandInStateService.start(options, tellPlaced), null);
+    const cloud = new StandInCloud(options, seeded(options.seed + 1), {
+      booted: (machine) => tellParent<FromPlatform>({ kind: 'booted', machines: [machine] }),
+      remove: (hosts) => platform.remove(hosts),
+    });
+    platform.cloud = cloud;
+    await new Promise<void>((resolve) => cloud.server.listen(0, '127.0.0.1', () => resolve()));
+    const [state, address] = [addressOf(platform.state.server), addressOf(cloud.server)];
+    tellParent<FromPlatform>({ kind: 'ready', state, cloud: address });
+    return platform;
+  }
+
+  private remove(hosts: string[]): Promise<void> {
+    const request = ++this.removalCount;
+    tellParent<FromPlatform>({ kind: 'remove', request, hosts });
+    return new Promise((resolve) => this.removals.set(request, resolve));
+  }
+
+  receive(message: Exclude<ToPlatform, PlatformStart>): void {
+    switch (message.kind) {
+      case 'listening':
+        for (const [host, endpoint] of message.endpoints) this.cloud!.listening(host, endpoint);
+        break;
+      case 'removed':
+        this.removals.get(message.request)?.();
+        this.removals.delete(message.request);
+        break;
+      case 'died':
+        for (const host of message.hosts) this.cloud!.died(host);
+        break;
+      case 'outage':
+        this.state.beginOutage(message.forMs);
+        break;
+      case 'report':
+        tellParent<FromPlatform>({
+          kind: 'status',
+          counts: this.state.counts,
+          owner: this.state.read(shardKey(0), 'owner'),
+          leader: this.state.read(chiefKey, 'member') ?? this.state.read(leadKey, 'member'),
+          lag: this.lag(),
+        });
+        break;
+    }
+  }
+}
+
+let platform: Platform | null = null;
+listenToParent<ToPlatform>((message) => {
+  if (message.kind === 'start') void Platform.start(message).then((started) => (platform = started));
+  else platform?.receive(message);
+});
--- /dev/null
+++ b/scale/run.ts
@@ -0,0 +1,64 @@
+/** A run from its start to its figures. */
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { Cell } from './cell.js';
+import { playFault } from './faults.js';
+import type { CellFigures } from './figures.js';
+import { checkRoom, roomHere, type ScaleOptions } from './options.js';
+
+const progressEveryMs = 5000;
+
+export interface RunResult {
+  options: ScaleOptions;
+  cells: CellFigures[];
+  /** No rule was broken, and no controller ended by itself. */
+  ok: boolean;
+}
+
+const pause = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
+
+async function playFaults(cell: Cell, options: ScaleOptions): Promise<void> {
+  for (const fault of options.faults) await playFault(cell, fault, options.seconds);
+}
+
+/** Plays a run; whatever becomes of it, its processes are ended. `say` gets a line now and then. */
+export async function play(options: ScaleOptions, say: (line: string) => void): Promise<RunResult> {
+  checkRoom(options, roomHere());
+  const directory = mkdtempSync(join(tmpdir(), 'dapplepick-scale-'));
+  const cells = Array.from(
+    { length: options.cells },
+    (_, i) => new Cell(i, options, join(directory, `cell-${i}`)),
+  );
+  const stopAll = (): void => cells.forEach((cell) => cell.stop());
+  const interrupted = (): never => {
+    stopAll();
+    process.exit(1);
+  };
+  process.once('SIGINT', interrupted).once('SIGTERM', interrupted);
+  const from = performance.now();
+  const progress = setInterval(() => say(progressLine(cells, performance.now() - from)), progressEveryMs);
+  try {
+    await Promise.all(cells.map((cell) => cell.start()));
+    await pause(cells[0].settlingMs);
+    for (const cell of cells) cell.beginMeasuring();
+    await Promise.all([pause(options.seconds * 1000), ...cells.map((cell) => playFaults(cell, options))]);
+    for (const cell of cells) cell.endMeasuring();
+    await Promise.all(cells.map((cell) => cell.settle()));
+    const figures = cells.map((cell) => cell.figures());
+    const ok = figures.every((f) => f.violations.length === 0 && f.unexpectedEnds === 0);
+    return { options, cells: figures, ok };
+  } finally {
+    clearInterval(progress);
+    process.off('SIGINT', interrupted).off('SIGTERM', interrupted);
+    stopAll();
+    if (options.keepLogs) say(`logs: ${directory}`);
+    else rmSync(directory, { recursive: true, force: true, maxRetries: 5 });
+  }
+}
+
+function progressLine(cells: Cell[], ms: number): string {
+  const each = cells.map((c) => `${c.workerCount} workers, ${c.running} running`).join('; ');
+  const broken = cells.reduce((sum, c) => sum + c.checker.violations.length, 0);
+  return `${(ms / 1000).toFixed(0).padStart(4)} s  ${each}; ${broken} rules broken`;
+}
--- /dev/null
+++ b/scale/stateservice.ts
@@ -0,0 +1,154 @@
+/** The stand-in of the state service: this project's store in memory, with the limits, delays and outages of the protocol. */
+import type { Server } from 'node:http';
+import { seeded, type Random } from '../src/retry/index.js';
+import { Engine, storeServer, type Disk, type Refusal, type RequestGate } from '../src/store/index.js';
+import type { Txn, Write } from '../src/wire/store.js';
+import { isUrgentJob } from './jobs.js';
+import { now, type PlatformCounts, type PlatformStart } from './messages.js';
+import { kindOfWrite, StoredTasks } from './writekinds.js';
+
+const conditionsPerOperation = 4;
+const usualDelayMs = 8;
+const slowDelayMs = 300;
+const slowShare = 0.001;
+
+/** Keeps nothing: a run begins with an empty store and ends with it. */
+const memoryDisk: Disk = {
+  load: () => Promise.resolve({ epoch: 0, nextHold: 1, entries: [], leases: [] }),
+  write: () => Promise.resolve(),
+  close: () => Promise.resolve(),
+};
+
+/** A rate limit that allows bursts of one second's worth. */
+export class TokenBucket {
+  private tokens: number;
+  private filledAt: number;
+
+  constructor(
+    private readonly perS: number,
+    private readonly now: () => number = () => performance.now(),
+    private readonly burstS = 1,
+  ) {
+    this.tokens = perS * burstS;
+    this.filledAt = now();
+  }
+
+  take(count: number): boolean {
+    const now = this.now();
+    const filled = this.tokens + ((now - this.filledAt) / 1000) * this.perS;
+    this.tokens = Math.min(this.perS * this.burstS, filled);
+    this.filledAt = now;
+    if (this.tokens < count) return false;
+    this.tokens -= count;
+    return true;
+  }
+}
+
+/** Limits requests, writes and sizes, delays each request, and refuses everything in an outage. */
+class LimitedGate implements RequestGate {
+  readonly counts = {
+    requests: 0,
+    transactions: 0,
+    writes: 0,
+    refusedRequests: 0,
+    refusedWrites: 0,
+    bytesWritten: 0,
+    writesByKind: {} as Record<string, number>,
+  };
+  outage = false;
+  private readonly stored = new StoredTasks();
+  private readonly requests: TokenBucket;
+  private readonly writes: TokenBucket;
+
+  constructor(
+    private readonly limits: PlatformStart,
+    private readonly random: Random,
+    /** Told of an urgent job's first placement. */
+    private readonly placed: (job: string, at: number) => void,
+  ) {
+    this.requests = new TokenBucket(limits.requestsPerS);
+    this.writes = new TokenBucket(limits.writesPerS);
+  }
+
+  async request(): Promise<Refusal | null> {
+    this.counts.requests++;
+    const slow = this.random() < slowShare;
+    await new Promise((resolve) => setTimeout(resolve, this.random() * (slow ? slowDelayMs : usualDelayMs)));
+    if (this.outage) return { status: 503, error: 'outage' };
+    if (this.requests.take(1)) return null;
+    this.counts.refusedRequests++;
+    return { status: 429, error: 'too many requests' };
+  }
+
+  transaction(txn: Txn): Refusal | null {
+    const { txnOps, valueKb } = this.limits;
+    this.counts.transactions++;
+    if (txn.apply.length > txnOps || txn.when.length > txnOps * conditionsPerOperation)
+      return { status: 400, error: 'transaction too large' };
+    const sizes = txn.apply.map((w) =>
+      w.data === undefined ? 0 : Buffer.byteLength(JSON.stringify(w.data)),
+    );
+    if (sizes.some((size) => size > valueKb * 1024)) return { status: 400, error: 'value too large' };
+    if (!this.writes.take(txn.apply.length)) {
+      this.counts.refusedWrites += txn.apply.length;
+      return { status: 429, error: 'too many writes' };
+    }
+    this.counts.writes += txn.apply.length;
+    this.counts.bytesWritten += sizes.reduce((sum, size) => sum + size, 0);
+    for (const write of txn.apply) this.note(write);
+    return null;
+  }
+
+  private note(write: Write): void {
+    const { kind, job } = kindOfWrite(write, this.stored);
+    this.counts.writesByKind[kind] = (this.counts.writesByKind[kind] ?? 0) + 1;
+    if (kind === 'placement' && isUrgentJob(job)) this.placed(job, now());
+  }
+}
+
+export class StandInStateService {
+  private frozenAt: number | null = null;
+
+  private constructor(
+    private readonly engine: Engine,
+    private readonly gate: LimitedGate,
+    readonly server: Server,
+  ) {}
+
+  static async start(
+    limits: PlatformStart,
+    placed: (job: string, at: number) => void,
+  ): Promise<StandInStateService> {
+    const gate = new LimitedGate(limits, seeded(limits.seed), placed);
+    const holder: { service: StandInStateService | null } = { service: null };
+    const clock = (): number => holder.service?.frozenAt ?? performance.now();
+    const quiet = (): void => undefined;
+    const engine = await Engine.open(memoryDisk, quiet, quiet, clock);
+    const service = new StandInStateService(engine, gate, storeServer(engine, '', gate));
+    holder.service = service;
+    await new Promise<void>((resolve) => service.server.listen(0, '127.0.0.1', () => resolve()));
+    return service;
+  }
+
+  /** Refuses everything for a while. No lease ends meanwhile, and each has its full time again afterwards. */
+  beginOutage(forMs: number): void {
+    this.gate.outage = true;
+    this.frozenAt = performance.now();
+    setTimeout(() => {
+      this.frozenAt = null;
+      this.engine.renewAll();
+      this.gate.outage = false;
+    }, forMs);
+  }
+
+  /** A field of a stored value; null: there is none. */
+  read(key: string, field: string): string | null {
+    const data = this.engine.get(key).entry?.data as Record<string, unknown> | undefined;
+    const value = data?.[field];
+    return typeof value === 'string' ? value : null;
+  }
+
+  get counts(): PlatformCounts {
+    return { ...this.gate.counts, keys: this.engine.view().keys.size };
+  }
+}
--- /dev/null
+++ b/scale/worker.ts
@@ -0,0 +1,285 @@
+/** A hollow worker: speaks the workers' protocol over real sockets as one machine would, and runs nothing. */
+import { Agent } from 'node:http';
+import { pieceName } from '../src/model/job.js';
+import type { Order } from '../src/model/report.js';
+import { callOnce } from '../src/net/client.js';
+import type { Random } from '../src/retry/index.js';
+import {
+  agentReportOut,
+  parseAnswer,
+  parseBoss,
+  type AgentReport,
+  type HeldTask,
+} from '../src/wire/agentside.js';
+import { machineType } from './cloud.js';
+import { now, type MachineSpec, type TaskEvent, type WorkerCounts, type WorkersStart } from './messages.js';
+import { isInitialJob, isUrgentJob } from './jobs.js';
+
+const answerPatienceMs = 4000;
+const leastBetweenReportsMs = 500;
+const nextNodePauseMs = 1000;
+const redirectPauseMs = 100;
+const reportSpread = 0.25;
+/** Run times vary by this share around the mean. */
+const runTimeSpread = 0.25;
+
+export interface WorkerContext {
+  options: WorkersStart;
+  random: Random;
+  counts: WorkerCounts;
+  emit(event: TaskEvent): void;
+  /** A worker's lease was renewed, the first time since the last mark. */
+  renewed(): void;
+}
+
+interface RunningTask extends HeldTask {
+  /** Counts what the worker has started, so that the timer of a task that is gone does nothing. */
+  start: number;
+}
+
+export class HollowWorker {
+  private readonly tasks = new Map<string, RunningTask>();
+  private running = 0;
+  private session = 1;
+  private sequence = 0;
+  private token = 0;
+  private leaseFrom = now();
+  private controller: number;
+  private connection: Agent;
+  private reporting = false;
+  private changed = false;
+  private lastReportAt = -Infinity;
+  private reportTimer: NodeJS.Timeout | null = null;
+  private leaseTimer: NodeJS.Timeout | null = null;
+  private starts = 0;
+  private raisedAt = -Infinity;
+  private over = false;
+  /** Its lease has not been renewed since the last mark. */
+  marked = false;
+
+  constructor(
+    readonly machine: MachineSpec,
+    readonly address: string,
+    private readonly endpoint: string,
+    private readonly context: WorkerContext,
+  ) {
+    this.controller = Math.floor(context.random() * context.options.controllers.length);
+    this.connection = this.connect();
+    context.counts.workers++;
+    this.watchLease();
+    this.schedule(0);
+  }
+
+  /** Ends the worker with all that is on it. */
+  end(): void {
+    this.over = true;
+    this.loseTasks(now());
+    if (this.reportTimer) clearTimeout(this.reportTimer);
+    if (this.leaseTimer) clearTimeout(this.leaseTimer);
+    this.connection.destroy();
+    this.context.counts.workers--;
+  }
+
+  /** Its process ends and starts again: the tasks are gone, a new session begins. */
+  restart(): void {
+    this.newSession(now());
+    this.noteChange();
+  }
+
+  /** Carries out direct commands; the status to answer with. */
+  ordered(token: number | null, session: number | null, orders: Order[]): 200 | 400 | 409 {
+    if (token === null || session === null) return 400;
+    if (token < this.token || session !== this.session) return 409;
+    this.token = token;
+    for (const order of orders) this.carryOut(order);
+    return 200;
+  }
+
+  report(): object {
+    const { host, zone } = this.machine;
+    const report: AgentReport = {
+      host,
+      endpoint: this.endpoint,
+      type: machineType,
+      zone,
+      session: this.session,
+      seq: ++this.sequence,
+      token: this.token,
+      tasks: [...this.tasks.values()],
+    };
+    return agentReportOut(report);
+  }
+
+  // ---- reports ----
+
+  private connect(): Agent {
+    return new Agent({ keepAlive: true, maxSockets: 1, localAddress: this.address });
+  }
+
+  private schedule(afterMs: number): void {
+    if (this.reportTimer) clearTimeout(this.reportTimer);
+    if (this.over) return;
+    this.reportTimer = setTimeout(() => void this.sendReport(), afterMs);
+  }
+
+  /** A change is reported at once, though not more often than the protocol allows. */
+  private noteChange(): void {
+    this.changed = true;
+    if (!this.reporting) this.schedule(Math.max(0, this.lastReportAt + leastBetweenReportsMs - now()));
+  }
+
+  private async sendReport(): Promise<void> {
+    if (this.over || this.reporting) return;
+    const { options, counts, random } = this.context;
+    this.reporting = true;
+    this.changed = false;
+    const sentAt = now();
+    this.lastReportAt = sentAt;
+    const { session } = this;
+    const body = this.report();
+    counts.reports++;
+    const [, address] = options.controllers[this.controller];
+    const reply = await callOnce(this.connection, address, 'POST', '/checkin', body, answerPatienceMs);
+    this.reporting = false;
+    if (this.over) return;
+    const accepted = reply?.status === 200 && this.accept(reply.body, session, sentAt);
+    if (!accepted) counts.failedReports++;
+    if (reply?.status === 200) {
+      const intervalMs = options.limits.reportS * 1000 * (1 + reportSpread * (2 * random() - 1));
+      const afterMs = this.changed ? leastBetweenReportsMs : intervalMs;
+      this.schedule(Math.max(0, sentAt + afterMs - now()));
+    } else this.moveOn(reply?.status === 421 ? parseBoss(reply.body) : null);
+  }
+
+  /** Takes an answer in, unless it has to be dropped. */
+  private accept(body: unknown, session: number, sentAt: number): boolean {
+    const answer = parseAnswer(body);
+    if (!answer || answer.token === null || answer.token < this.token || session !== this.session)
+      return false;
+    this.raiseToken(answer.token);
+    this.leaseFrom = sentAt;
+    if (this.marked) {
+      this.marked = false;
+      this.context.renewed();
+    }
+    for (const order of answer.orders) this.carryOut(order);
+    return true;
+  }
+
+  private raiseToken(token: number): void {
+    if (token === this.token) return;
+    this.token = token;
+    if (now() - this.raisedAt < (this.context.options.limits.leaseS * 1000) / 2) return;
+    this.raisedAt = now();
+    this.noteChange();
+  }
+
+  private moveOn(owner: string | null): void {
+    const { controllers } = this.context.options;
+    const named = controllers.findIndex(([member]) => member === owner);
+    const redirected = named >= 0 && named !== this.controller;
+    this.controller = redirected ? named : (this.controller + 1) % controllers.length;
+    this.connection.destroy();
+    this.connection = this.connect();
+    this.schedule(redirected ? redirectPauseMs : nextNodePauseMs);
+  }
+
+  // ---- the lease ----
+
+  private watchLease(): void {
+    const leaseMs = this.context.options.limits.leaseS * 1000;
+    const endsAt = this.leaseFrom + leaseMs;
+    if (now() > endsAt) {
+      this.context.counts.expiredLeases++;
+      this.context.counts.tasksLostWithLeases += this.running;
+      this.newSession(endsAt);
+      this.noteChange();
+    }
+    const leftMs = this.leaseFrom + leaseMs - now();
+    this.leaseTimer = setTimeout(() => this.watchLease(), leftMs + 1);
+  }
+
+  private newSession(at: number): void {
+    this.loseTasks(at);
+    this.session++;
+    this.leaseFrom = now();
+  }
+
+  private loseTasks(at: number): void {
+    for (const task of this.tasks.values()) if (task.phase === 'running') this.left(task, at);
+    this.tasks.clear();
+  }
+
+  // ---- tasks ----
+
+  private carryOut(order: Order): void {
+    const piece = pieceName(order.job, order.index);
+    const task = this.tasks.get(piece);
+    if (order.op === 'start') this.start(piece, order, task);
+    else if (!task || task.attempt !== order.attempt) return;
+    else if (order.op === 'forget') {
+      if (task.phase === 'exited') this.tasks.delete(piece);
+    } else if (task.phase === 'running') {
+      this.left(task, now());
+      Object.assign(task, { phase: 'exited', why: 'stopped' });
+      this.noteChange();
+    }
+  }
+
+  private start(piece: string, order: Order, held: RunningTask | undefined): void {
+    if (held?.attempt === order.attempt) return;
+    this.context.counts.orders++;
+    const task: RunningTask = {
+      job: order.job,
+      index: order.index,
+      attempt: order.attempt,
+      phase: 'running',
+      why: null,
+      saved: false,
+      result: null,
+      start: ++this.starts,
+    };
+    this.noteChange();
+    if (held) {
+      // Refused: the task is here with another attempt, which stays as it is.
+      return;
+    }
+    this.tasks.set(piece, task);
+    if (this.running >= this.context.options.cpusOfMachine) {
+      Object.assign(task, { phase: 'exited', why: 'full' });
+      return;
+    }
+    this.running++;
+    this.context.counts.running++;
+    this.emit('on', task, now());
+    setTimeout(() => this.complete(piece, task.start), this.runTimeOf(order.job));
+  }
+
+  private complete(piece: string, start: number): void {
+    const task = this.tasks.get(piece);
+    if (this.over || task?.start !== start || task.phase !== 'running') return;
+    const at = now();
+    this.emit('done', task, at);
+    this.left(task, at);
+    Object.assign(task, { phase: 'exited', why: 'done' });
+    this.noteChange();
+  }
+
+  private left(task: RunningTask, at: number): void {
+    this.running--;
+    this.context.counts.running--;
+    this.emit('off', task, at);
+  }
+
+  private emit(what: TaskEvent['what'], { job, index }: RunningTask, at: number): void {
+    this.context.emit({ at, what, host: this.machine.host, job, index });
+  }
+
+  /** Work of the start has already run for a part of its time, so that ends are spread as in the middle of a day. */
+  private runTimeOf(job: string): number {
+    const { random, options } = this.context;
+    if (isInitialJob(job)) return Math.ceil(options.runMs * random());
+    const mean = isUrgentJob(job) ? options.urgentRunMs : options.runMs;
+    return Math.ceil(mean * (1 + runTimeSpread * (2 * random() - 1)));
+  }
+}
--- /dev/null
+++ b/scale/workers.ts
@@ -0,0 +1,144 @@
+/** A process of hollow workers: thousands of them, each with its own address on loopback and its own connection. */
+import { createServer as createHttpServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import { createServer, type AddressInfo, type Server } from 'node:net';
+import { readJson, replyJson } from '../src/net/json.js';
+import { seeded } from '../src/retry/index.js';
+import { parseOrders } from '../src/wire/agentside.js';
+import { lagMeter, listenToParent, tellParent } from './child.js';
+import {
+  now,
+  type FromWorkers,
+  type MachineSpec,
+  type TaskEvent,
+  type ToWorkers,
+  type WorkerCounts,
+  type WorkersStart,
+} from './messages.js';
+import { HollowWorker, type WorkerContext } from './worker.js';
+
+const sendEventsEveryMs = 100;
+const mostBody = 64 * 1024;
+const addressesInBlock = 250;
+
+interface Hosted {
+  worker: HollowWorker;
+  listener: Server;
+}
+
+class WorkersProcess {
+  private readonly hosted = new Map<string, Hosted>();
+  private readonly byAddress = new Map<string, HollowWorker>();
+  private readonly http = createHttpServer((req, res) => void this.serve(req, res));
+  private events: TaskEvent[] = [];
+  private addresses = 0;
+  private markedAt = 0;
+  private readonly lag = lagMeter();
+  private readonly context: WorkerContext;
+  private readonly counts: WorkerCounts = {
+    workers: 0,
+    running: 0,
+    reports: 0,
+    failedReports: 0,
+    orders: 0,
+    expiredLeases: 0,
+    tasksLostWithLeases: 0,
+    renewedSinceMark: 0,
+    slowestRenewalMs: 0,
+  };
+
+  constructor(private readonly options: WorkersStart) {
+    this.context = {
+      options,
+      random: seeded(options.seed),
+      counts: this.counts,
+      emit: (event) => this.events.push(event),
+      renewed: () => {
+        this.counts.renewedSinceMark++;
+        this.counts.slowestRenewalMs = now() - this.markedAt;
+      },
+    };
+    setInterval(() => this.sendEvents(), sendEventsEveryMs);
+    tellParent<FromWorkers>({ kind: 'ready' });
+  }
+
+  receive(message: Exclude<ToWorkers, WorkersStart>): void {
+    switch (message.kind) {
+      case 'add':
+        for (const machine of message.machines) this.add(machine);
+        break;
+      case 'remove':
+        this.removeAll(message.hosts);
+        tellParent<FromWorkers>({ kind: 'removed', request: message.request });
+        break;
+      case 'kill':
+        this.removeAll(message.hosts);
+        break;
+      case 'restart':
+        for (const host of message.hosts) this.hosted.get(host)?.worker.restart();
+        break;
+      case 'mark':
+        this.mark();
+        break;
+      case 'report':
+        tellParent<FromWorkers>({ kind: 'status', counts: this.counts, lag: this.lag() });
+        break;
+    }
+  }
+
+  private mark(): void {
+    this.markedAt = now();
+    this.counts.renewedSinceMark = 0;
+    this.counts.slowestRenewalMs = 0;
+    for (const { worker } of this.hosted.values()) worker.marked = true;
+  }
+
+  /** Events of a machine that is gone must be on their way before anybody is told that it is gone. */
+  private removeAll(hosts: string[]): void {
+    for (const host of hosts) this.remove(host);
+    this.sendEvents();
+  }
+
+  private add(machine: MachineSpec): void {
+    const n = this.options.firstAddress + this.addresses++;
+    const address = `127.${this.options.network}.${Math.floor(n / addressesInBlock)}.${1 + (n % addressesInBlock)}`;
+    const listener = createServer((socket) => this.http.emit('connection', socket));
+    listener.listen(0, address, () => {
+      const endpoint = `${address}:${(listener.address() as AddressInfo).port}`;
+      const worker = new HollowWorker(machine, address, endpoint, this.context);
+      this.hosted.set(machine.host, { worker, listener });
+      this.byAddress.set(address, worker);
+      tellParent<FromWorkers>({ kind: 'listening', endpoints: [[machine.host, endpoint]] });
+    });
+  }
+
+  private remove(host: string): void {
+    const hosted = this.hosted.get(host);
+    if (!hosted) return;
+    hosted.worker.end();
+    hosted.listener.close();
+    this.hosted.delete(host);
+    this.byAddress.delete(hosted.worker.address);
+  }
+
+  private sendEvents(): void {
+    if (this.events.length === 0) return;
+    const { events } = this;
+    this.events = [];
+    tellParent<FromWorkers>({ kind: 'events', events });
+  }
+
+  private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const worker = this.byAddress.get(req.socket.localAddress ?? '');
+    if (!worker) return void res.destroy();
+    if (req.url === '/show') return replyJson(res, 200, worker.report());
+    const body = parseOrders(await readJson(req, mostBody));
+    const status = body ? worker.ordered(body.token, body.session, body.orders) : 400;
+    replyJson(res, status, worker.report());
+  }
+}
+
+let workers: WorkersProcess | null = null;
+listenToParent<ToWorkers>((message) => {
+  if (message.kind === 'start') workers = new WorkersProcess(message);
+  else workers?.receive(message);
+});
--- /dev/null
+++ b/scale/writekinds.ts
@@ -0,0 +1,60 @@
+/** What a write to the state service is for, by its key and by what was stored there before. */
+import { readKey } from '../src/core/keys.js';
+import type { Write } from '../src/wire/store.js';
+
+export type WriteKind = 'accept' | 'placement' | 'end' | 'final' | 'cancel' | 'machine' | 'drop' | 'other';
+
+interface StoredJob {
+  s?: string;
+  t?: TaskState;
+}
+
+interface TaskState {
+  d?: string;
+  p?: unknown[];
+}
+
+/** The last attempt that is placed of each task of a record, as text. */
+const placements = (tasks: TaskState | undefined): string[] => (tasks?.p ?? []).map((p) => JSON.stringify(p));
+
+/** Which placements each record of tasks held when it was last written. */
+export class StoredTasks {
+  private readonly placed = new Map<string, ReadonlySet<string>>();
+
+  /** Whether a record holds placements that it did not hold before. */
+  hasNewPlacements(key: string, tasks: TaskState | undefined): boolean {
+    const before = this.placed.get(key);
+    const now = placements(tasks);
+    this.placed.set(key, new Set(now));
+    return now.some((p) => !before?.has(p));
+  }
+
+  forget(key: string): void {
+    this.placed.delete(key);
+  }
+}
+
+export function kindOfWrite(write: Write, stored: StoredTasks): { kind: WriteKind; job: string } {
+  const ref = readKey(write.key);
+  if (write.data === undefined) {
+    stored.forget(write.key);
+    return { kind: 'drop', job: '' };
+  }
+  if (ref?.kind === 'block' || ref?.kind === 'machine') return { kind: 'machine', job: '' };
+  if (ref?.kind === 'chunk') {
+    const isNew = stored.hasNewPlacements(write.key, write.data as TaskState);
+    return { kind: isNew ? 'placement' : 'end', job: ref.id };
+  }
+  if (ref?.kind !== 'job') return { kind: 'other', job: '' };
+  return { kind: kindOfJobWrite(write.key, write.data as StoredJob, stored), job: ref.id };
+}
+
+function kindOfJobWrite(key: string, data: StoredJob, stored: StoredTasks): WriteKind {
+  if (data.s === 'done') {
+    stored.forget(key);
+    return 'final';
+  }
+  if (data.s === 'cancelled') return 'cancel';
+  if (data.t === undefined) return 'accept';
+  return stored.hasNewPlacements(key, data.t) ? 'placement' : 'end';
+}
--- a/src/store/engine.ts
+++ b/src/store/engine.ts
@@ -97,6 +97,11 @@
     return this.space.renew(hold, this.now());
   }
 
+  /** Gives every lease its full time again, as after an outage. */
+  renewAll(): void {
+    this.space.renewAll(this.now());
+  }
+
   async end(hold: number): Promise<boolean> {
     if (this.stopped) return false;
     const delta = this.space.end(hold);
--- a/src/store/http.ts
+++ b/src/store/http.ts
@@ -11,16 +11,33 @@
   parseTxn,
 } from '../wire/storeside.js';
 import { readJson, replyJson as reply } from '../net/json.js';
+import type { Txn } from '../wire/store.js';
 import type { Engine } from './engine.js';
 import { snapshotInto } from './snapshot.js';
 
 const mostBody = 64 * 1024;
 const longestWatchMs = 60_000;
 
+/** A request that a gate did not let pass, and the status that it is answered with. */
+export interface Refusal {
+  status: 400 | 429 | 503;
+  error: string;
+}
+
+/** Decides which requests are served: rate limits, sizes, outages. The HTTP server of a store has none unless it is given one. */
+export interface RequestGate {
+  /** Resolves when the request may go on, with a refusal if it may not. */
+  request(): Promise<Refusal | null>;
+  /** Asked once more for a transaction, when its size is known. */
+  transaction(txn: Txn): Refusal | null;
+}
+
+const openGate: RequestGate = { request: () => Promise.resolve(null), transaction: () => null };
+
 /** The state service's protocol over HTTP, for an engine. */
-export function storeServer(engine: Engine, dir: string): Server {
+export function storeServer(engine: Engine, dir: string, gate: RequestGate = openGate): Server {
   const server = createServer({ keepAliveTimeout: 120_000, requestTimeout: 10_000 }, (req, res) => {
-    serve(engine, dir, req, res).catch((e: unknown) =>
+    serve(engine, dir, gate, req, res).catch((e: unknown) =>
       reply(res, 503, { error: String((e as Error).message) }),
     );
   });
@@ -28,12 +45,20 @@
   return server;
 }
 
-async function serve(engine: Engine, dir: string, req: IncomingMessage, res: ServerResponse): Promise<void> {
+async function serve(
+  engine: Engine,
+  dir: string,
+  gate: RequestGate,
+  req: IncomingMessage,
+  res: ServerResponse,
+): Promise<void> {
   const url = new URL(req.url ?? '/', 'http://store');
   const route = `${req.method ?? ''} ${url.pathname}`;
   const lease = /^(POST|DELETE) \/leases\/(\d+)(\/renew)?$/.exec(route);
   if (engine.broken) return reply(res, 503, { error: engine.broken.message });
-  if (route === 'POST /commit') return commit(engine, await readJson(req, mostBody), res);
+  const refusal = await gate.request();
+  if (refusal) return reply(res, refusal.status, { error: refusal.error });
+  if (route === 'POST /commit') return commit(engine, gate, await readJson(req, mostBody), res);
   if (route === 'POST /leases') {
     const ttl = parseTtl(await readJson(req, mostBody));
     if (typeof ttl === 'string') return reply(res, 400, { error: ttl });
@@ -62,9 +87,11 @@
   reply(res, 404, { error: 'not found' });
 }
 
-async function commit(engine: Engine, value: unknown, res: ServerResponse): Promise<void> {
+async function commit(engine: Engine, gate: RequestGate, value: unknown, res: ServerResponse): Promise<void> {
   const txn = parseTxn(value);
   if (typeof txn === 'string') return reply(res, 400, { error: txn });
+  const refusal = gate.transaction(txn);
+  if (refusal) return reply(res, refusal.status, { error: refusal.error });
   const o = await engine.commit(txn);
   if (o.r === 'ok') reply(res, 200, epochOut(o.epoch));
   else if (o.r === 'conflict') reply(res, 409, conflictOut(o.failed, o.epoch));
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -2,6 +2,6 @@
 export { EmbeddedStore } from './embedded.js';
 export { format, LevelDisk, type Disk } from './disk.js';
 export { StoreError } from './errors.js';
-export { storeServer } from './http.js';
+export { storeServer, type Refusal, type RequestGate } from './http.js';
 export { Keyspace, type Delta, type Entry, type Loaded } from './keyspace.js';
 export { restoreSnapshot, snapshotInto, writeSnapshot } from './snapshot.js';
--- a/src/store/keyspace.ts
+++ b/src/store/keyspace.ts
@@ -106,6 +106,10 @@
     return true;
   }
 
+  renewAll(now: number): void {
+    for (const lease of this.leases.values()) lease.until = now + lease.ttlMs;
+  }
+
   /** Ends a lease and drops its keys; null: there is none. */
   end(hold: number): Delta | null {
     const lease = this.leases.get(hold);
--- /dev/null
+++ b/test/scalerun.test.ts
@@ -0,0 +1,155 @@
+/** The scale run: its parts on their own, and a small run with real processes. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { checkRoom, parseOptions, ScaleError } from '../scale/options.js';
+import { EventOrder, RuleChecker, type Rule } from '../scale/rules.js';
+import { play } from '../scale/run.js';
+import { teamsOf } from '../scale/settings.js';
+import type { TaskEvent, UserEvent } from '../scale/messages.js';
+import { kindOfWrite, StoredTasks } from '../scale/writekinds.js';
+
+const cancelS = 38;
+
+function checker(): RuleChecker {
+  const rules = new RuleChecker({ cancelS, cpusOfTeam: new Map([['blue', 2]]) });
+  rules.user({ at: 0, what: 'submitted', job: 'req-1', team: 'blue', tasks: 3, cpus: 1, urgent: false });
+  rules.user({ at: 1, what: 'accepted', job: 'req-1', afterMs: 1 });
+  return rules;
+}
+
+const task = (at: number, what: TaskEvent['what'], host: string, index: number): TaskEvent => ({
+  at,
+  what,
+  host,
+  job: 'req-1',
+  index,
+});
+
+const told = (at: number, status: string): UserEvent => ({ at, what: 'told', job: 'req-1', status });
+
+function rulesBroken(rules: RuleChecker): Rule[] {
+  return rules.violations.map((v) => v.rule);
+}
+
+test('a day on which tasks move, complete and are told of in order breaks no rule', () => {
+  const rules = checker();
+  rules.task(task(2, 'on', 'a', 0));
+  rules.task(task(3, 'off', 'a', 0));
+  rules.task(task(4, 'on', 'b', 0));
+  for (const index of [0, 1, 2]) {
+    if (index > 0) rules.task(task(5 + index, 'on', 'b', index));
+    rules.task(task(10 + index, 'done', 'b', index));
+    rules.task(task(10 + index, 'off', 'b', index));
+  }
+  rules.user(told(20, 'done'));
+  rules.user(told(21, 'done'));
+  rules.sweep(100_000);
+  assert.deepEqual(rulesBroken(rules), []);
+});
+
+const breaches: [Rule, (rules: RuleChecker) => void][] = [
+  [
+    'ran_twice',
+    (rules) => {
+      rules.task(task(2, 'on', 'a', 0));
+      rules.task(task(3, 'on', 'b', 0));
+    },
+  ],
+  ['quota', (rules) => [0, 1, 2].forEach((index) => rules.task(task(2 + index, 'on', 'a', index)))],
+  ['not_done', (rules) => rules.user(told(5, 'done'))],
+  ['forgotten', (rules) => rules.user(told(5, 'unknown'))],
+  ['refused', (rules) => rules.user(told(5, 'refused 422'))],
+  ['invented', (rules) => rules.task({ ...task(5, 'on', 'a', 0), job: 'req-2' })],
+  [
+    'went_back',
+    (rules) => {
+      rules.user(told(5, 'aborted'));
+      rules.user(told(6, 'running'));
+    },
+  ],
+  [
+    'ran_cancelled',
+    (rules) => {
+      rules.user({ at: 10, what: 'cancelled', job: 'req-1', afterMs: 1 });
+      rules.task(task(10 + cancelS * 1000 + 1, 'on', 'a', 0));
+    },
+  ],
+  [
+    'ran_cancelled',
+    (rules) => {
+      rules.task(task(5, 'on', 'a', 0));
+      rules.user({ at: 10, what: 'cancelled', job: 'req-1', afterMs: 1 });
+      rules.sweep(10 + cancelS * 1000 + 1);
+    },
+  ],
+];
+for (const [rule, breach] of breaches)
+  test(`the scale run's checker finds ${rule}`, () => {
+    const rules = checker();
+    breach(rules);
+    assert.deepEqual(rulesBroken(rules), [rule]);
+  });
+
+test('a cancelled job may be on its machines until its time is over', () => {
+  const rules = checker();
+  rules.task(task(5, 'on', 'a', 0));
+  rules.user({ at: 10, what: 'cancelled', job: 'req-1', afterMs: 1 });
+  rules.sweep(10 + cancelS * 1000 - 1);
+  rules.task(task(10 + cancelS * 1000 - 1, 'off', 'a', 0));
+  rules.sweep(10 + cancelS * 1000 + 1);
+  assert.deepEqual(rulesBroken(rules), []);
+});
+
+test('events of several processes are taken in the order of their times', () => {
+  const order = new EventOrder(100);
+  order.add([{ at: 5 }, { at: 7 }]);
+  order.add([{ at: 6 }, { at: 300 }]);
+  assert.deepEqual(
+    order.take(200).map((e) => e.at),
+    [5, 6, 7],
+  );
+  assert.deepEqual(
+    order.take(401).map((e) => e.at),
+    [300],
+  );
+});
+
+test('what the machine cannot hold is refused with what is short', () => {
+  const options = parseOptions(['--workers', '10000', '--cells', '2']);
+  const room = { openFiles: 20_000, memoryMb: 12_000 };
+  assert.throws(() => checkRoom(options, { ...room, openFiles: 1000 }), /open files, 1000 are allowed/);
+  assert.throws(() => checkRoom(options, { ...room, memoryMb: 500 }), /500 MB may be used/);
+  const many = parseOptions(['--workers', '10', '--cells', '30']);
+  assert.throws(() => checkRoom({ ...many, cells: 60 }, room), /200 are allowed/);
+  assert.throws(() => checkRoom(options, { ...room, memoryMb: 0 }), ScaleError);
+  checkRoom(parseOptions(['--workers', '2500']), room);
+});
+
+test('writes are told apart by what is stored', () => {
+  const stored = new StoredTasks();
+  const kind = (key: string, data: Record<string, unknown> | undefined): string =>
+    kindOfWrite({ key, data }, stored).kind;
+  assert.equal(kind('dp/j/req-1', { s: 'open', spec: {} }), 'accept');
+  assert.equal(kind('dp/t/req-1/0', { n: 1, d: '', p: [[0, 1, 'a']] }), 'placement');
+  assert.equal(kind('dp/t/req-1/0', { n: 1, d: 'AQ==', p: [] }), 'end');
+  assert.equal(kind('dp/j/req-2', { s: 'open', job: {}, t: { p: [[0, 1, 'a']] } }), 'placement');
+  assert.equal(kind('dp/j/req-2', { s: 'cancelled', t: { p: [[0, 1, 'a']] } }), 'cancel');
+  assert.equal(kind('dp/j/req-2', { s: 'done' }), 'final');
+  assert.equal(kind('dp/t/req-1/0', undefined), 'drop');
+});
+
+test('a small run: real controllers, hollow workers and users, the owner killed, no rule broken', async () => {
+  const asked = ['--workers', '12', '--starts', '54', '--tasks-per-job', '20', '--seconds', '10'];
+  const options = parseOptions([...asked, '--write-rps', '60', '--faults', 'owner']);
+  const { cells, ok } = await play(options, () => undefined);
+  const [cell] = cells;
+  assert.deepEqual(cell.violations, []);
+  assert.ok(ok);
+  assert.ok(cell.startsPerS > 20, `${cell.startsPerS} starts a second`);
+  assert.ok(cell.urgentStart.count > 0);
+  const [fault] = cell.faults;
+  assert.ok(fault.firstStartMs !== null);
+  assert.equal(fault.workersNotRenewed, 0);
+  assert.equal(cell.tasksLostWithLeases, 0);
+  assert.equal(teamsOf(options).length, 18);
+});
