The write path is one package with a face: core/storage

Keys, records, committer, the writer of tasks' states and the task log move to core/storage, which the rest of the core and the tests know by its index only.

--- a/scale/platform.ts
+++ b/scale/platform.ts
@@ -1,7 +1,7 @@
 /** The process of the platform's stand-ins: a state service and a cloud on loopback. */
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { chiefKey, leadKey, shardKey } from '../src/core/keys.js';
+import { chiefKey, leadKey, shardKey } from '../src/core/storage/index.js';
 import { seeded } from '../src/retry/index.js';
 import { lagMeter, listenToParent, tellParent } from './child.js';
 import { StandInCloud } from './cloud.js';
--- a/scale/writekinds.ts
+++ b/scale/writekinds.ts
@@ -1,5 +1,5 @@
 /** What a write to the state service is for, by its key and by what was stored there before. */
-import { readKey } from '../src/core/keys.js';
+import { readKey } from '../src/core/storage/index.js';
 import type { Write } from '../src/wire/store.js';
 
 export type WriteKind = 'accept' | 'placement' | 'end' | 'final' | 'cancel' | 'machine' | 'drop' | 'other';
--- a/src/cli/level.ts
+++ b/src/cli/level.ts
@@ -1,7 +1,14 @@
 import type { Command } from 'commander';
 import { loadSettings, SettingsError } from '../config/settings.js';
-import { levelKey, membersKey, wishKey } from '../core/keys.js';
-import { readMembers, readNode, readWish, wishData } from '../core/records.js';
+import {
+  levelKey,
+  membersKey,
+  readMembers,
+  readNode,
+  readWish,
+  wishData,
+  wishKey,
+} from '../core/storage/index.js';
 import { firstLevel, noWish, type Ability, type LevelState, type Wish } from '../levels/index.js';
 import { Store } from '../state/store.js';
 import type { Change } from '../wire/store.js';
--- a/src/control/api.ts
+++ b/src/control/api.ts
@@ -1,5 +1,5 @@
 import { request, type IncomingMessage, type ServerResponse } from 'node:http';
-import type { JobRecord } from '../core/records.js';
+import type { JobRecord } from '../core/storage/index.js';
 import { jobStatus } from '../wire/user.js';
 import { parseJoining } from '../wire/agentside.js';
 import { readJson, replyJson as reply } from '../net/json.js';
--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -1,6 +1,6 @@
 import { defaults } from '../config/operators.js';
 import type { Log } from '../core/effects.js';
-import { shardKey } from '../core/keys.js';
+import { shardKey } from '../core/storage/index.js';
 import type { JobSpec, MatchSpec } from '../model/job.js';
 import type { Attributes, Matcher } from '../policy/matching.js';
 import type { Report } from '../model/report.js';
--- a/src/core/books/books.ts
+++ b/src/core/books/books.ts
@@ -8,16 +8,14 @@
 import { zoneOpen } from '../../policy/guardrails.js';
 import { HazardEstimate } from '../../policy/hazard.js';
 import { fetchS } from '../../policy/pricing.js';
-import type { Committer } from '../committer.js';
+import { type Committer, type JobRecord, type Placed, TaskWriter } from '../storage/index.js';
 import type { Clock, Log } from '../effects.js';
-import type { JobRecord, Placed } from '../records.js';
 import type { Machine, Replica } from '../replica.js';
 import { Claims } from './claims.js';
 import { chunkOf, isDone, newJob, remains, waitingCount } from './jobs.js';
 import { mendable } from './mending.js';
 import { newMachine } from './machines.js';
 import type { Chunk, JobRun, MachineRun, Placement } from './runs.js';
-import { Writer } from './writer.js';
 
 /** What the books tell: weighed by whoever judges machines. */
 export interface BooksListener {
@@ -62,7 +60,7 @@
   owed: ReadonlyMap<string, Owed> = new Map();
   readonly claims: Claims;
   readonly hazard: HazardEstimate;
-  readonly writer: Writer;
+  readonly writer: TaskWriter;
   /** Placements on machines that are not there (yet), by host. */
   private readonly homeless = new Map<string, Placement[]>();
   /** Placements on machines that have no record, and when the leases of their workers have surely ended, ms. */
@@ -106,7 +104,7 @@
     const wholeTasks = Math.max(1, Math.floor(this.chunkTasks * wholeShare));
     const mostAgeMs = settings.workers.lease_s * 1000 * operators['task-log-leases'];
     const taskLog = { wanted: operators['task-log'] > 0, mostAgeMs };
-    this.writer = new Writer(settings, replica, committer, clock, log, this, wholeTasks, taskLog);
+    this.writer = new TaskWriter(settings, replica, committer, clock, log, this, wholeTasks, taskLog);
   }
 
   /** How old a view may be, ms, for workers to be answered from it. */
--- a/src/core/books/jobs.ts
+++ b/src/core/books/jobs.ts
@@ -1,6 +1,5 @@
 import type { JobSpec } from '../../model/job.js';
-import { mostFailedKept } from '../blame.js';
-import { Bits, type ChunkRecord, type JobRecord, type JobUse } from '../records.js';
+import { Bits, type ChunkRecord, type JobRecord, type JobUse } from '../storage/index.js';
 import type { Chunk, JobRun } from './runs.js';
 
 /** A job as its records tell it; what is placed is entered by the books. */
@@ -87,10 +86,6 @@
 
 export const nextGangAttempt = (job: JobRun): number => Math.max(...job.chunks.map((c) => c.last)) + 1;
 
-/** What the leader and the next owner must know of a job's failures; kept with its first tasks. */
-export const failedOn = (job: JobRun, chunk: Chunk): string[] =>
-  chunk.number === 0 && job.successes === 0 ? [...job.errors].slice(0, mostFailedKept) : [];
-
 /** Stands in for the description of a cancelled job: only what its last tasks take matters now. */
 export const remains = (record: JobRecord, use: JobUse): JobSpec => ({
   id: record.id,
--- a/src/core/books/runs.ts
+++ b/src/core/books/runs.ts
@@ -2,8 +2,7 @@
 import type { Fits, MachineType } from '../../model/machine.js';
 import type { Match } from '../../policy/matching.js';
 import type { TaskPhase } from '../../model/report.js';
-import type { Rank } from '../committer.js';
-import type { Bits } from '../records.js';
+import type { Bits, Rank } from '../storage/index.js';
 import type { Machine } from '../replica.js';
 
 /** A task's present attempt. It exists from the decision to place until it is proven gone. */
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -6,7 +6,7 @@
 import type { Matcher } from '../policy/matching.js';
 import { Recovery } from '../recovery/index.js';
 import { retryPolicies, type Random } from '../retry/index.js';
-import { Committer } from './committer.js';
+import { Committer } from './storage/index.js';
 import { Desk } from './desk.js';
 import { Dispatcher } from './dispatcher.js';
 import type { Clock, Command, Effect, Log } from './effects.js';
--- a/src/core/demand.ts
+++ b/src/core/demand.ts
@@ -9,7 +9,7 @@
 import { gpuMachineOpen, hasPlainType } from '../policy/gpus.js';
 import { inOrder, pressingS } from '../policy/order.js';
 import { anchorPrice, fetchS } from '../policy/pricing.js';
-import type { JobRecord } from './records.js';
+import type { JobRecord } from './storage/index.js';
 import type { Machine, Replica } from './replica.js';
 
 /** Tasks that wait and find no room on the machines of their shard. */
--- a/src/core/desk.ts
+++ b/src/core/desk.ts
@@ -15,11 +15,19 @@
 import { urgencyRank, type JobSpec } from '../model/job.js';
 import type { Random } from '../retry/index.js';
 import { isJobId, jobStatus } from '../wire/user.js';
-import { Rank, type Committer } from './committer.js';
+import {
+  chunkData,
+  chunkKey,
+  type Committer,
+  jobCancelledData,
+  jobData,
+  jobKey,
+  type JobRecord,
+  Rank,
+  wholeCancelledData,
+} from './storage/index.js';
 import type { Clock, Effect } from './effects.js';
-import { chunkKey, jobKey } from './keys.js';
 import type { Share } from './planning.js';
-import { chunkData, jobCancelledData, jobData, wholeCancelledData, type JobRecord } from './records.js';
 import type { Replica } from './replica.js';
 import type { Condition, Write } from '../wire/store.js';
 
--- a/src/core/dispatcher.ts
+++ b/src/core/dispatcher.ts
@@ -4,7 +4,7 @@
 import { Books } from './books/books.js';
 import type { JobRun, MachineRun } from './books/runs.js';
 import { Checkins } from './checkins.js';
-import type { Committer } from './committer.js';
+import type { Committer } from './storage/index.js';
 import type { Clock, Effect, Log } from './effects.js';
 import type { Replica } from './replica.js';
 import { Sweep } from '../levels/index.js';
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -7,13 +7,19 @@
 import { Attempts, type Random, type RetryPolicy } from '../retry/index.js';
 import type { ListedMachine, RentRequest } from '../wire/cloud.js';
 import type { Write } from '../wire/store.js';
-import { Rank, type Committer } from './committer.js';
+import {
+  blockData,
+  blockKey,
+  type Committer,
+  machineData,
+  machineKey,
+  Rank,
+  typesData,
+} from './storage/index.js';
 import { Demand, emptyRoom, kindOf, mayUse, slotName, type Unmet } from './demand.js';
 import type { Clock, Effect, Log } from './effects.js';
-import { blockKey, machineKey } from './keys.js';
 import { gpuMachineOpen, hasPlainType } from '../policy/gpus.js';
 import { anchorPrice, candidate, fetchS, weights } from '../policy/pricing.js';
-import { blockData, machineData, typesData } from './records.js';
 import type { Machine, Replica } from './replica.js';
 
 /** A kind of machine in a zone that could be rented. */
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -1,11 +1,18 @@
 import type { Operators } from '../config/operators.js';
 import type { Settings } from '../config/settings.js';
 import { Attempts, type Random, type RetryPolicy } from '../retry/index.js';
-import { Rank, type Committer } from './committer.js';
+import {
+  type Committer,
+  nodeData,
+  nodeKey,
+  Rank,
+  shardData,
+  shardKey,
+  teamsData,
+  teamsKey,
+} from './storage/index.js';
 import type { Effect, Log } from './effects.js';
 import { admits } from '../levels/index.js';
-import { nodeKey, shardKey, teamsKey } from './keys.js';
-import { nodeData, shardData, teamsData } from './records.js';
 import type { Replica } from './replica.js';
 
 /** Without news of the state, the leader looks at the grants this often, as a share of its state lease. */
--- a/src/core/memory.ts
+++ b/src/core/memory.ts
@@ -1,21 +1,23 @@
 import type { Data, Kind } from '../formats/index.js';
 import { merge } from '../rebuild/index.js';
-import { chunkKey, readKey, type KeyRef } from './keys.js';
 import {
   blockData,
   cancelledData,
   chunkData,
+  chunkKey,
   jobData,
   jobDoneData,
+  type JobRecord,
+  type KeyRef,
   levelData,
   machineData,
   membersData,
+  readKey,
   teamsData,
   typesData,
   wholeJobData,
   wishData,
-  type JobRecord,
-} from './records.js';
+} from './storage/index.js';
 import type { Replica } from './replica.js';
 
 /** What a controller knew when it saw that the state service had lost data. */
--- a/src/core/planning.ts
+++ b/src/core/planning.ts
@@ -10,12 +10,10 @@
   type Plan,
 } from '../admission/index.js';
 import type { Settings } from '../config/settings.js';
-import { Rank, type Committer } from './committer.js';
+import { type Committer, planData, planKey, Rank } from './storage/index.js';
 import type { Clock, Log } from './effects.js';
-import { planKey } from './keys.js';
 import type { Membership } from './membership.js';
 import type { Neighbours } from './neighbours.js';
-import { planData } from './records.js';
 import type { Replica } from './replica.js';
 import type { View } from './view.js';
 
--- a/src/core/rebuilding.ts
+++ b/src/core/rebuilding.ts
@@ -12,12 +12,10 @@
 } from '../rebuild/index.js';
 import { features } from '../levels/index.js';
 import type { Write } from '../wire/store.js';
-import { Rank, type Committer } from './committer.js';
+import { type Committer, incData, incKey, levelKey, Rank, readKey } from './storage/index.js';
 import type { Clock, Effect, Log, Pulse } from './effects.js';
-import { incKey, levelKey, readKey } from './keys.js';
 import { barred, dataOf, isOver, kindOfRef, legacyOf, type Legacy } from './memory.js';
 import type { Neighbours } from './neighbours.js';
-import { incData } from './records.js';
 import type { Replica } from './replica.js';
 
 /** So many records are on their way at a time. */
--- a/src/core/replica.ts
+++ b/src/core/replica.ts
@@ -4,25 +4,27 @@
 import type { MachineRecord, MachineType } from '../model/machine.js';
 import { attemptBase, tokenBase, type Incarnation } from '../rebuild/index.js';
 import type { Change } from '../wire/store.js';
-import { LogReader } from './tasklog/reader.js';
 import {
+  type BlockRecord,
   chiefKey,
   chunkKey,
+  type ChunkRecord,
   jobKey,
+  type JobRecord,
+  type KeyRef,
   kindsKey,
   leadKey,
   levelKey,
+  type LevelNote,
+  LogReader,
   machineKey,
+  type NodeRecord,
   prefix,
-  readKey,
-  typesKey,
-  type KeyRef,
-} from './keys.js';
-import {
   readBlock,
   readChunk,
   readInc,
   readJob,
+  readKey,
   readMachine,
   readMembers,
   readNode,
@@ -30,14 +32,10 @@
   readTeams,
   readTypes,
   readWish,
-  type BlockRecord,
-  type ChunkRecord,
-  type JobRecord,
-  type LevelNote,
-  type NodeRecord,
   type ShardRecord,
   type Stored,
-} from './records.js';
+  typesKey,
+} from './storage/index.js';
 
 export type Machine = MachineRecord & { stamp: number };
 
@@ -124,6 +122,7 @@
   readonly taskLog = new LogReader({
     get: (job, chunk) => this.chunks.get(job)?.get(chunk),
     set: (job, chunk, state) => this.setLogged(job, chunk, state),
+    end: (job, chunk) => this.setChunk(job, chunk, null),
     standing: (job) => this.standing(job),
   });
   /** Records of the task log that cannot be read: nobody knows what they placed. */
--- a/src/core/committer.ts
+++ b/src/core/storage/committer.ts
@@ -1,10 +1,10 @@
-import { Meter } from '../admission/index.js';
-import type { Condition, Txn, Write } from '../wire/store.js';
-import { txnOut } from '../wire/store.js';
-import { Attempts, pauseMs, type Random, type RetryPolicy } from '../retry/index.js';
-import type { CommitOutcome, Effect, Log } from './effects.js';
+import { Meter } from '../../admission/index.js';
+import type { Condition, Txn, Write } from '../../wire/store.js';
+import { txnOut } from '../../wire/store.js';
+import { Attempts, pauseMs, type Random, type RetryPolicy } from '../../retry/index.js';
+import type { CommitOutcome, Effect, Log } from '../effects.js';
 import { incKey, incPrefix, levelKey } from './keys.js';
-import type { Replica } from './replica.js';
+import type { Replica } from '../replica.js';
 
 /** What waits first when the state service's budget is short. */
 export const enum Rank {
--- /dev/null
+++ b/src/core/storage/index.ts
@@ -0,0 +1,9 @@
+/**
+ * The write path: names and forms of what is stored, the write budget and its ranks, what makes the states of tasks durable, and
+ * the task log. The rest of the core, and tests, know this face only.
+ */
+export * from './keys.js';
+export * from './records.js';
+export { Committer, Rank, type CommitLimits, type Intent } from './committer.js';
+export { TaskWriter, type TaskOwner } from './taskwriter.js';
+export * from './tasklog/index.js';
--- a/src/core/tasklog/entry.ts
+++ b/src/core/storage/tasklog/entry.ts
@@ -2,7 +2,7 @@
  * Entries of the task log: what has changed in the state of some tasks of a job between two revisions of it. Many entries, of
  * many jobs, share a record, so that one write makes the placements and ends of a whole round durable.
  */
-import type { Data } from '../../formats/index.js';
+import type { Data } from '../../../formats/index.js';
 import { Bits, type ChunkRecord, type Placed } from '../records.js';
 
 export interface LogEntry {
--- a/src/core/tasklog/index.ts
+++ b/src/core/storage/tasklog/index.ts
@@ -5,4 +5,5 @@
 export { applyEntry, difference, emptyChunk, logData, readLog, type LogEntry } from './entry.js';
 export { LogReader, type LogItem, type LogRecord, type TaskStates } from './reader.js';
 export { isObsolete, Truncation, type Checkpoints } from './truncation.js';
+export { LogTruncator } from './truncator.js';
 export { LogWriter, type LoggedTasks } from './writer.js';
--- a/src/core/tasklog/reader.ts
+++ b/src/core/storage/tasklog/reader.ts
@@ -9,6 +9,8 @@
 export interface TaskStates {
   get(job: string, chunk: number): ChunkRecord | undefined;
   set(job: string, chunk: number, state: ChunkRecord): void;
+  /** Nothing is placed of these tasks, and nothing will be: their job is over. */
+  end(job: string, chunk: number): void;
   /** Whether a job's tasks are followed: not known yet, followed, or over (or kept in the job's own record). */
   standing(job: string): 'unknown' | 'followed' | 'over';
 }
@@ -65,6 +67,13 @@
     if (!record) return;
     this.byKey.delete(key);
     for (const item of record.items) this.discard(item);
+    for (const item of record.items) this.endUnlessCheckpointed(item);
+  }
+
+  /** The newest state is dropped without a checkpoint only if its job is over. */
+  private endUnlessCheckpointed({ job, chunk, to }: LogItem): void {
+    const state = this.states.get(job, chunk);
+    if (state?.revision === to && state.checkpoint < to) this.states.end(job, chunk);
   }
 
   /** A job became known, or the state of some of its tasks was stored: entries that waited for that may follow. */
--- /dev/null
+++ b/src/core/storage/tasklog/truncator.ts
@@ -0,0 +1,85 @@
+/** Truncates the task logs of this process's shards: drops what nobody needs, and checkpoints what keeps old records. */
+import type { Chunk, JobRun } from '../../books/runs.js';
+import type { Clock } from '../../effects.js';
+import type { Replica } from '../../replica.js';
+import { Rank, type Committer } from '../committer.js';
+import { shardKey } from '../keys.js';
+import type { LogItem, LogRecord } from './reader.js';
+import { Truncation, type Checkpoints } from './truncation.js';
+
+const truncateEveryMs = 1000;
+/** So many records are dropped, and so many looked at for checkpoints, at a time. */
+const droppedAtOnce = 12;
+const checkpointedAtOnce = 4;
+
+export interface OwnedJobs {
+  jobs: ReadonlyMap<string, JobRun>;
+  owned: ReadonlySet<number>;
+}
+
+export class LogTruncator {
+  private readonly truncation: Truncation;
+  private lookedAt = -Infinity;
+  private dropping = false;
+  private readonly known: Checkpoints;
+
+  constructor(
+    private readonly replica: Replica,
+    private readonly committer: Committer,
+    private readonly clock: Clock,
+    private readonly owner: OwnedJobs,
+    mostAgeMs: number,
+    private readonly checkpoint: (job: JobRun, chunk: Chunk) => void,
+  ) {
+    this.truncation = new Truncation(mostAgeMs, checkpointedAtOnce);
+    this.known = {
+      standing: (job) => this.standing(job),
+      checkpointOf: (job, chunk) => replica.checkpointOf(job, chunk),
+    };
+  }
+
+  /** To be called every step. */
+  tick(): void {
+    const { now } = this.clock;
+    const { taskLog } = this.replica;
+    if (this.dropping || taskLog.size === 0 || now - this.lookedAt < truncateEveryMs) return;
+    this.lookedAt = now;
+    for (const shard of this.owner.owned) {
+      const records = taskLog.records.filter((record) => record.shard === shard);
+      const plan = this.truncation.plan(records, this.known, now);
+      for (const item of plan.checkpoint) this.checkpointItem(item);
+      if (plan.drop.length > 0) this.drop(shard, plan.drop.slice(0, droppedAtOnce));
+    }
+  }
+
+  /** A cancelled job of which nothing is on any machine any more is over. */
+  private standing(id: string): 'unknown' | 'followed' | 'over' {
+    const isCancelled = this.replica.jobs.get(id)?.state === 'cancelled';
+    return isCancelled && !this.owner.jobs.has(id) ? 'over' : this.replica.standing(id);
+  }
+
+  private checkpointItem({ job: id, chunk }: LogItem): void {
+    const job = this.owner.jobs.get(id);
+    if (job) this.checkpoint(job, job.chunks[chunk]);
+  }
+
+  private drop(shard: number, records: readonly LogRecord[]): void {
+    this.dropping = true;
+    const end = (): void => void (this.dropping = false);
+    this.committer.add({
+      rank: Rank.cleanup,
+      build: () => {
+        const grant = this.replica.shards.get(shard);
+        if (!grant || !this.owner.owned.has(shard)) {
+          end();
+          return null;
+        }
+        const when = [{ key: shardKey(shard), stamp: grant.stamp }];
+        for (const { key, stamp } of records) when.push({ key, stamp });
+        return { when, apply: records.map(({ key }) => ({ key, data: undefined })) };
+      },
+      ok: end,
+      conflict: end,
+    });
+  }
+}
--- a/src/core/tasklog/writer.ts
+++ b/src/core/storage/tasklog/writer.ts
@@ -3,13 +3,13 @@
  * record holds the changes of many jobs. Each record has a key of its own under the grant's stamp, and the conditions that the
  * grant stands and that no job that gets a placement by it was cancelled.
  */
-import { urgencyRank } from '../../model/job.js';
-import type { Condition, Txn } from '../../wire/store.js';
-import type { Chunk, JobRun } from '../books/runs.js';
+import { urgencyRank } from '../../../model/job.js';
+import type { Condition, Txn } from '../../../wire/store.js';
+import type { Chunk, JobRun } from '../../books/runs.js';
 import { Rank, type Committer } from '../committer.js';
 import { jobKey, logKey, shardKey } from '../keys.js';
 import type { Placed } from '../records.js';
-import type { Replica } from '../replica.js';
+import type { Replica } from '../../replica.js';
 import { difference, emptyChunk, logData, sizeOf, type LogEntry } from './entry.js';
 
 /** A record's value takes at most this share of what a value may hold, and this many bytes. */
--- a/src/core/books/writer.ts
+++ b/src/core/storage/taskwriter.ts
@@ -1,28 +1,23 @@
 import type { Settings } from '../../config/settings.js';
 import { urgencyRank } from '../../model/job.js';
 import type { Txn, Write } from '../../wire/store.js';
-import { Rank, type Committer } from '../committer.js';
+import { Rank, type Committer } from './committer.js';
 import type { Clock, Log } from '../effects.js';
-import { chunkKey, jobKey, shardKey } from '../keys.js';
+import { chunkKey, jobKey, shardKey } from './keys.js';
 import {
-  cancelledData,
   chunkData,
   jobCancelledData,
   jobData,
-  jobDoneData,
   wholeCancelledData,
   wholeJobData,
   type Placed,
-} from '../records.js';
+} from './records.js';
 import type { Replica } from '../replica.js';
-import { LogWriter, Truncation, type LogItem } from '../tasklog/index.js';
-import { failedOn } from './jobs.js';
-import type { Chunk, JobRun } from './runs.js';
+import { JobFinisher } from './finisher.js';
+import { LogTruncator, LogWriter } from './tasklog/index.js';
+import { mostFailedKept } from '../blame.js';
+import type { Chunk, JobRun } from '../books/runs.js';
 
-/** How often the task log is truncated, ms; so many records are dropped, and so many looked at for checkpoints, at a time. */
-const truncateEveryMs = 1000;
-const droppedAtOnce = 12;
-const checkpointedAtOnce = 4;
 /** Conditions that a transaction may have for each operation. */
 const conditionsPerOperation = 4;
 
@@ -33,8 +28,12 @@
 const placementRank = ({ spec }: JobRun): Rank =>
   urgencyRank[spec.urgency] > urgencyRank.normal ? Rank.urgent : Rank.task;
 
-/** What the writer needs of the books. */
-export interface Written {
+/** What the leader and the next owner must know of a job's failures; kept with its first tasks. */
+const failedOn = (job: JobRun, chunk: Chunk): string[] =>
+  chunk.number === 0 && job.successes === 0 ? [...job.errors].slice(0, mostFailedKept) : [];
+
+/** The process's jobs and shards, as the write path needs them. */
+export interface TaskOwner {
   jobs: Map<string, JobRun>;
   /** Jobs that were brought to their end, by team. */
   doneOf: Map<string, number>;
@@ -44,16 +43,17 @@
   reread(id: string): void;
 }
 
-/** Makes jobs' books durable: what is placed, what has ended, and jobs that are over. */
-export class Writer {
+/**
+ * Makes the states of tasks durable: what is placed and what has ended, by chunks of a job's tasks, in records of their own, in
+ * their job's, or in the task log, as the level in force has it.
+ */
+export class TaskWriter {
   private readonly ended = new Map<Chunk, { job: JobRun; since: number }>();
   private blocked: { job: JobRun; chunk: Chunk }[] = [];
-  private refinish: { job: JobRun; epoch: number }[] = [];
+  private readonly finisher: JobFinisher;
   /** The task logs of this process's shards. */
   private readonly logs = new Map<number, LogWriter>();
-  private readonly truncation: Truncation;
-  private truncatedAt = -Infinity;
-  private truncating = false;
+  private readonly truncator: LogTruncator;
 
   constructor(
     private readonly settings: Settings,
@@ -61,21 +61,35 @@
     private readonly committer: Committer,
     private readonly clock: Clock,
     private readonly log: Log,
-    private readonly books: Written,
+    private readonly owner: TaskOwner,
     /** Jobs of so many tasks may have their state in their own record. */
     private readonly wholeTasks: number,
     /** Whether the task log is used where the level in force allows it, and how long a record stays in it, ms. */
     private readonly taskLog: { wanted: boolean; mostAgeMs: number },
   ) {
-    this.truncation = new Truncation(taskLog.mostAgeMs, checkpointedAtOnce);
+    this.truncator = new LogTruncator(replica, committer, clock, owner, taskLog.mostAgeMs, (job, chunk) =>
+      this.checkpoint(job, chunk),
+    );
+    this.finisher = new JobFinisher(settings.state.txn_ops, replica, committer, log, owner);
   }
 
   /** To be called every step: ends that have gathered long enough, and writes that conflicted. */
   tick(): void {
     this.unblock();
-    this.retryFinish();
+    this.finisher.tick();
     for (const log of this.logs.values()) log.tick(this.clock.now);
-    this.truncateLogs();
+    this.truncator.tick();
+  }
+
+  /** Every task of a job is done. */
+  finish(job: JobRun): void {
+    this.finisher.finish(job);
+  }
+
+  /** A cancelled job is over and nothing of it is left: its tasks' records go. */
+  dropChunks(job: JobRun): void {
+    if (this.isLogged(job) && this.revised(job).length > 0) this.logOf(job.shard).clear(job.id);
+    this.finisher.dropChunks(job);
   }
 
   /** A shard is not this process's any more. */
@@ -121,7 +135,7 @@
   }
 
   private isWritable(job: JobRun): boolean {
-    const { jobs, owned } = this.books;
+    const { jobs, owned } = this.owner;
     return jobs.get(job.id) === job && owned.has(job.shard) && !job.finishing && !job.frozen;
   }
 
@@ -250,50 +264,6 @@
     return true;
   }
 
-  // ---- the task log's end ----
-
-  /** Drops what nobody needs of the task logs of this process's shards, and checkpoints what keeps old records. */
-  private truncateLogs(): void {
-    const { now } = this.clock;
-    const { taskLog } = this.replica;
-    if (this.truncating || taskLog.size === 0 || now - this.truncatedAt < truncateEveryMs) return;
-    this.truncatedAt = now;
-    for (const shard of this.books.owned) {
-      const plan = this.truncation.plan(
-        taskLog.records.filter((record) => record.shard === shard),
-        this.replica,
-        now,
-      );
-      for (const item of plan.checkpoint) this.checkpointItem(item);
-      if (plan.drop.length > 0) this.drop(shard, plan.drop.slice(0, droppedAtOnce));
-    }
-  }
-
-  private checkpointItem({ job: id, chunk }: LogItem): void {
-    const job = this.books.jobs.get(id);
-    if (job) this.checkpoint(job, job.chunks[chunk]);
-  }
-
-  private drop(shard: number, records: readonly { key: string; stamp: number }[]): void {
-    this.truncating = true;
-    const end = (): void => void (this.truncating = false);
-    this.committer.add({
-      rank: Rank.cleanup,
-      build: () => {
-        const grant = this.replica.shards.get(shard);
-        if (!grant || !this.books.owned.has(shard)) {
-          end();
-          return null;
-        }
-        const when = [{ key: shardKey(shard), stamp: grant.stamp }];
-        for (const { key, stamp } of records) when.push({ key, stamp });
-        return { when, apply: records.map(({ key }) => ({ key, data: undefined })) };
-      },
-      ok: end,
-      conflict: end,
-    });
-  }
-
   /** An end is written with the chunk's next placement, or after a while with the others of its chunk. */
   noteEnd(job: JobRun, chunk: Chunk): void {
     if (!chunk.queued && !this.ended.has(chunk)) this.ended.set(chunk, { job, since: this.clock.now });
@@ -305,7 +275,7 @@
       // In order of age.
       if (this.clock.now - e.since < patience) break;
       this.ended.delete(chunk);
-      if (this.books.jobs.get(e.job.id) === e.job && chunk.durable < chunk.version)
+      if (this.owner.jobs.get(e.job.id) === e.job && chunk.durable < chunk.version)
         this.queue(e.job, chunk, Rank.cleanup);
     }
   }
@@ -316,14 +286,14 @@
     const blocked = this.blocked;
     this.blocked = [];
     for (const b of blocked) {
-      if (this.books.jobs.get(b.job.id) !== b.job) continue;
+      if (this.owner.jobs.get(b.job.id) !== b.job) continue;
       if (this.replica.epoch < b.chunk.blockedUntil) {
         this.blocked.push(b);
         continue;
       }
       if (this.changedElsewhere(b.job, b.chunk)) {
         this.log('warn', 'chunk changed by another writer, reading it again', { job: b.job.id });
-        this.books.reread(b.job.id);
+        this.owner.reread(b.job.id);
       } else this.queue(b.job, b.chunk);
     }
   }
@@ -335,97 +305,4 @@
     const revision = replica.chunks.get(job.id)?.get(chunk.number)?.revision ?? 0;
     return revision > chunk.durable;
   }
-
-  /** Every task is done: the job's end and the removal of its tasks' records in one transaction. */
-  finish(job: JobRun): void {
-    if (job.finishing) return;
-    job.finishing = true;
-    this.committer.add({
-      rank: Rank.task,
-      build: () => {
-        const grant = this.replica.shards.get(job.shard);
-        const { jobs, owned } = this.books;
-        if (jobs.get(job.id) !== job || !grant || !owned.has(job.shard) || job.cancelled || job.frozen) {
-          job.finishing = false;
-          return null;
-        }
-        const stored = this.replica.whole.has(job.id) ? [] : job.chunks.filter((c) => c.stamp > 0);
-        const drops = stored.slice(0, this.settings.state.txn_ops - 1);
-        return {
-          when: [
-            { key: shardKey(job.shard), stamp: grant.stamp },
-            { key: jobKey(job.id), stamp: job.stamp },
-            ...drops.map((c) => ({ key: chunkKey(job.id, c.number), stamp: c.stamp })),
-          ],
-          apply: [
-            { key: jobKey(job.id), data: jobDoneData(job.at, job.spec.tasks) },
-            ...drops.map((c) => ({ key: chunkKey(job.id, c.number), data: undefined })),
-          ],
-        };
-      },
-      ok: () => {
-        for (const c of job.chunks) c.durable = c.version;
-        this.books.jobs.delete(job.id);
-        const { doneOf } = this.books;
-        doneOf.set(job.spec.team, (doneOf.get(job.spec.team) ?? 0) + 1);
-        this.log('info', 'job done', { job: job.id });
-        this.dropChunks(job);
-      },
-      conflict: (_, epoch) => {
-        job.finishing = false;
-        this.refinish.push({ job, epoch });
-      },
-    });
-  }
-
-  private retryFinish(): void {
-    if (this.refinish.length === 0) return;
-    const list = this.refinish;
-    this.refinish = [];
-    for (const f of list) {
-      if (this.books.jobs.get(f.job.id) !== f.job) continue;
-      if (this.replica.epoch < f.epoch) this.refinish.push(f);
-      else this.books.reread(f.job.id);
-    }
-  }
-
-  /** The job is over and nothing of it is left: its tasks' records go. */
-  dropChunks(job: JobRun): void {
-    if (this.replica.whole.has(job.id)) this.dropTasks(job.id);
-    if (this.replica.levels.has('task-log') && this.revised(job).length > 0)
-      this.logOf(job.shard).clear(job.id);
-    for (const c of job.chunks)
-      if (this.replica.stamp(chunkKey(job.id, c.number)) > 0) this.dropChunk(job.id, c.number);
-  }
-
-  /** A cancelled job of which nothing is left: the state of its tasks goes out of its record. */
-  private dropTasks(id: string): void {
-    const key = jobKey(id);
-    this.committer.add({
-      rank: Rank.cleanup,
-      build: () => {
-        const job = this.replica.jobs.get(id);
-        if (!job?.use || !job.whole) return null;
-        const data = cancelledData(job.at, job.tasks, job.use);
-        return { when: [{ key, stamp: job.stamp }], apply: [{ key, data }] };
-      },
-      ok: () => undefined,
-      conflict: () => this.dropTasks(id),
-    });
-  }
-
-  private dropChunk(id: string, chunk: number): void {
-    const key = chunkKey(id, chunk);
-    this.committer.add({
-      rank: Rank.cleanup,
-      build: () => {
-        const stamp = this.replica.stamp(key);
-        return stamp === 0 || this.replica.jobs.get(id)?.state === 'open'
-          ? null
-          : { when: [{ key, stamp }], apply: [{ key, data: undefined }] };
-      },
-      ok: () => undefined,
-      conflict: () => this.dropChunk(id, chunk),
-    });
-  }
 }
--- a/src/core/upgrade.ts
+++ b/src/core/upgrade.ts
@@ -8,12 +8,25 @@
   type LevelState,
 } from '../levels/index.js';
 import type { Write } from '../wire/store.js';
-import { Rank, type Committer } from './committer.js';
+import {
+  chiefKey,
+  type Committer,
+  kindsKey,
+  leadKey,
+  levelData,
+  levelKey,
+  type LevelNote,
+  membersData,
+  membersKey,
+  nodeKey,
+  Rank,
+  typesData,
+  typesKey,
+  wishKey,
+} from './storage/index.js';
 import type { Clock, Log } from './effects.js';
 import { barred } from './memory.js';
-import { chiefKey, kindsKey, leadKey, levelKey, membersKey, nodeKey, typesKey, wishKey } from './keys.js';
 import type { Membership } from './membership.js';
-import { levelData, membersData, typesData, type LevelNote } from './records.js';
 import type { Replica } from './replica.js';
 
 /** Looks, in a state lease. */
--- a/src/core/upkeep.ts
+++ b/src/core/upkeep.ts
@@ -1,8 +1,6 @@
 import type { MachineType } from '../model/machine.js';
-import { Rank, type Committer } from './committer.js';
+import { type Committer, machineData, machineKey, Rank, shardKey } from './storage/index.js';
 import type { Books } from './books/books.js';
-import { machineKey, shardKey } from './keys.js';
-import { machineData } from './records.js';
 import type { MachineRun } from './books/runs.js';
 
 /** The care for the machines of the shards of this process. */
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -1,5 +1,5 @@
 import type { CommitOutcome } from '../core/effects.js';
-import { prefix } from '../core/keys.js';
+import { prefix } from '../core/storage/index.js';
 import { HttpClient } from '../net/client.js';
 import type { Changes, Page, StateService } from './service.js';
 import {
--- a/src/store/embedded.ts
+++ b/src/store/embedded.ts
@@ -1,5 +1,5 @@
 import type { CommitOutcome } from '../core/effects.js';
-import { prefix } from '../core/keys.js';
+import { prefix } from '../core/storage/index.js';
 import type { Changes, Page, StateService } from '../state/service.js';
 import type { Change, Txn } from '../wire/store.js';
 import type { Engine } from './engine.js';
--- a/test/committer.test.ts
+++ b/test/committer.test.ts
@@ -1,7 +1,7 @@
 /** What the committer writes first when the state service's budget is short. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Committer, Rank } from '../src/core/committer.js';
+import { Committer, Rank } from '../src/core/storage/index.js';
 import type { Effect } from '../src/core/effects.js';
 import { Replica } from '../src/core/replica.js';
 import { abilityOf, Levels } from '../src/levels/index.js';
--- a/test/levels.test.ts
+++ b/test/levels.test.ts
@@ -14,7 +14,7 @@
   type Ability,
   type Standing,
 } from '../src/levels/index.js';
-import { jobData, wholeJobData } from '../src/core/records.js';
+import { jobData, wholeJobData } from '../src/core/storage/index.js';
 import { spec } from './world.js';
 
 const can = (most: number): Ability => ({ program: `p${most}`, least: 1, most, features: [], formats: {} });
--- a/test/loghistory.ts
+++ b/test/loghistory.ts
@@ -1,6 +1,5 @@
 /** What the transactions of a world must say of the task log, whatever happened in it. */
-import { readKey } from '../src/core/keys.js';
-import { readLog } from '../src/core/tasklog/index.js';
+import { readKey, readLog } from '../src/core/storage/index.js';
 import { pieceName } from '../src/model/job.js';
 import type { Write } from '../src/wire/store.js';
 import type { World } from './world.js';
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -18,7 +18,7 @@
   type Plan,
 } from '../src/admission/index.js';
 import { newestLevel } from '../src/levels/index.js';
-import { planData, readPlan } from '../src/core/records.js';
+import { planData, readPlan } from '../src/core/storage/index.js';
 import { formats, inspect } from '../src/formats/index.js';
 import { Flood, flooding, floodable } from './flood.js';
 import { leaderOf, levelOf, ownerOf, wish } from './rolls.js';
--- a/test/rebuild.test.ts
+++ b/test/rebuild.test.ts
@@ -9,7 +9,7 @@
   wholeJobData,
   Bits,
   machineData,
-} from '../src/core/records.js';
+} from '../src/core/storage/index.js';
 import { ownerOf } from './rolls.js';
 import { Traffic } from './traffic.js';
 import { spec, World, type Node } from './world.js';
--- a/test/stored.test.ts
+++ b/test/stored.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { readFileSync } from 'node:fs';
 import { test } from 'node:test';
-import { chunkData, jobCancelledData, jobData, wholeJobData } from '../src/core/records.js';
+import { chunkData, jobCancelledData, jobData, wholeJobData } from '../src/core/storage/index.js';
 import { empty, found, manyTasks, put, withWorkers, type Key, type Placing } from './foundstate.js';
 import { newestLevel } from '../src/levels/index.js';
 import { laterLevel, leaderOf, levelOf, ownerOf } from './rolls.js';
--- a/test/tasklog.test.ts
+++ b/test/tasklog.test.ts
@@ -3,33 +3,33 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import {
+  applyEntry,
   Bits,
   chunkData,
-  jobCancelledData,
-  jobData,
-  readChunk,
   type ChunkRecord,
-  type Placed,
-} from '../src/core/records.js';
-import {
-  applyEntry,
+  type Committer,
   difference,
   emptyChunk,
+  type Intent,
+  jobCancelledData,
+  jobData,
   logData,
+  type LogEntry,
+  type LogItem,
   LogReader,
   LogWriter,
+  type Placed,
+  Rank,
+  readChunk,
   readLog,
   Truncation,
-  type LogEntry,
-  type LogItem,
-} from '../src/core/tasklog/index.js';
+} from '../src/core/storage/index.js';
 import type { Txn, Write } from '../src/wire/store.js';
 import { Replica } from '../src/core/replica.js';
 import { abilityOf, Levels, newestLevel } from '../src/levels/index.js';
 import type { JobSpec } from '../src/model/job.js';
 import { newJob } from '../src/core/books/jobs.js';
 import type { Placement } from '../src/core/books/runs.js';
-import { Rank, type Committer, type Intent } from '../src/core/committer.js';
 import { legacyOf } from '../src/core/memory.js';
 import { wrongInHistory } from './loghistory.js';
 import { levelOf, ownerOf, restart } from './rolls.js';
@@ -80,6 +80,7 @@
   readonly reader = new LogReader({
     get: () => this.state,
     set: (_job, _chunk, state) => (this.state = state),
+    end: () => (this.state = undefined),
     standing: () => (this.known ? 'followed' : 'unknown'),
   });
 
@@ -443,10 +444,16 @@
   w.nodes[0].submit(spec('req-1', { tasks: 2, shape: 'service', team: 'blue' }));
   w.nodes[1].submit(spec('req-2', { tasks: 30, team: 'blue', cpus: 1 }));
   assert.ok(w.playUntil(() => w.running('req-1').length === 2 && logKeys(w).length > 0, 60));
+  w.endless.add('req-3');
+  w.nodes[2].submit(spec('req-3', { tasks: 2, shape: 'service', team: 'blue' }));
+  assert.ok(w.playUntil(() => w.running('req-3').length === 2, 60));
   const on = w.running('req-1').map((r) => r.host);
   const wish = (data: Record<string, unknown>): void =>
     void w.state.commit({ when: [], apply: [{ key: 'dp/wish', data }] });
   wish({ most: newestLevel - 1, lower: true });
+  // What is cancelled meanwhile cannot be said in the log any more.
+  assert.ok(w.playUntil(() => w.nodes[0].controller.replica.levels.state.write === newestLevel - 1, 60));
+  assert.equal(w.nodes[0].withdraw('req-3')?.body['status'], 'aborted');
   assert.ok(
     w.playUntil(() => levelOf(w).level === newestLevel - 1, 90),
     'lowered',
--- a/test/world.ts
+++ b/test/world.ts
@@ -6,7 +6,7 @@
 import { parseSettings, type Settings } from '../src/config/settings.js';
 import { Controller } from '../src/core/controller.js';
 import type { Command, CommitOutcome, Effect } from '../src/core/effects.js';
-import { prefix } from '../src/core/keys.js';
+import { prefix } from '../src/core/storage/index.js';
 import type { Legacy } from '../src/core/memory.js';
 import type { JobSpec } from '../src/model/job.js';
 import type { MachineType } from '../src/model/machine.js';
