--- a/scale/cell.ts
+++ b/scale/cell.ts
@@ -389,21 +389,18 @@
 
   // ---- measuring ----
 
-  private processes(): [name: string, pid: number | null][] {
+  private uses(): [name: string, use: ProcessUse | null][] {
     return [
-      ...this.controllers.map((c): [string, number | null] => [c.name, c.pid]),
-      ['platform', this.platform.pid],
-      ...this.workers.map((w, i): [string, number | null] => [`workers-${i}`, w.pid]),
-      ['users', this.users?.pid ?? null],
+      ...this.controllers.map((c): [string, ProcessUse | null] => [c.name, c.use]),
+      ['platform', useOf(this.platform.pid)],
+      ...this.workers.map((w, i): [string, ProcessUse | null] => [`workers-${i}`, useOf(w.pid)]),
+      ['users', useOf(this.users?.pid ?? null)],
     ];
   }
 
   private read(): Reading {
     const uses = new Map<string, ProcessUse>();
-    for (const [name, pid] of this.processes()) {
-      const use = useOf(pid);
-      if (use) uses.set(name, use);
-    }
+    for (const [name, use] of this.uses()) if (use) uses.set(name, use);
     const { platformCounts: platform, starts } = this;
     return { at: now(), uses, workers: sumOf(this.workerCounts), platform, starts };
   }
--- a/scale/processes.ts
+++ b/scale/processes.ts
@@ -46,7 +46,8 @@
 /** A controller: the program as it is deployed, on the settings file of the run. */
 export class ControllerProcess {
   private child: ChildProcess | null = null;
-  restarts = 0;
+  /** What its earlier processes have used. */
+  private usedBefore: ProcessUse | null = null;
   /** It ended although nobody asked it to. */
   unexpectedEnds = 0;
 
@@ -66,12 +67,14 @@
     });
   }
 
-  get pid(): number | null {
-    return this.child?.pid ?? null;
+  /** What all its processes have used together. */
+  get use(): ProcessUse | null {
+    return together(this.usedBefore, useOf(this.child?.pid ?? null));
   }
 
   kill(): void {
     const { child } = this;
+    this.usedBefore = this.use;
     this.child = null;
     child?.kill('SIGKILL');
   }
@@ -79,6 +82,7 @@
   /** Asks it to leave in order; resolves when it is gone. */
   async leave(patienceMs: number): Promise<void> {
     const { child } = this;
+    this.usedBefore = this.use;
     this.child = null;
     if (!child) return;
     const gone = new Promise<void>((resolve) => child.once('exit', () => resolve()));
@@ -97,6 +101,17 @@
   openFiles: number;
 }
 
+/** What one process after another has used; what the last holds. */
+function together(before: ProcessUse | null, last: ProcessUse | null): ProcessUse | null {
+  if (!before || !last) return last ?? before;
+  return {
+    ...last,
+    cpuS: before.cpuS + last.cpuS,
+    bytesIn: before.bytesIn + last.bytesIn,
+    bytesOut: before.bytesOut + last.bytesOut,
+  };
+}
+
 /** What a process has used so far; null: it is gone. */
 export function useOf(pid: number | null): ProcessUse | null {
   if (pid === null) return null;
--- a/src/cli/level.ts
+++ b/src/cli/level.ts
@@ -1,3 +1,4 @@
+/** The commands with which operators look at the level in force, hold it, lower it, and name who is gone. */
 import type { Command } from 'commander';
 import { loadSettings, SettingsError } from '../config/settings.js';
 import {
--- a/src/config/operators.ts
+++ b/src/config/operators.ts
@@ -1,3 +1,4 @@
+/** The operators' own settings: their defaults, and how they are read. */
 import { readFileSync } from 'node:fs';
 import { readForms } from './forms.js';
 import { SettingsError } from './settings.js';
--- a/src/control/api.ts
+++ b/src/control/api.ts
@@ -1,3 +1,4 @@
+/** What a control service serves beside the protocol: jobs, results and machines, for its command line. */
 import { request, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { JobRecord } from '../core/storage/index.js';
 import { jobStatus } from '../wire/user.js';
--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -1,3 +1,4 @@
+/** The control service: a controller with a pool of agents in place of a cloud. */
 import { defaults } from '../config/operators.js';
 import type { Log } from '../core/effects.js';
 import { shardKey } from '../core/storage/index.js';
--- a/src/core/books/books.ts
+++ b/src/core/books/books.ts
@@ -1,3 +1,4 @@
+/** The jobs and machines of this process's shards in memory, and what is placed where. */
 import { Floors } from '../../admission/index.js';
 import type { Operators } from '../../config/operators.js';
 import type { Settings } from '../../config/settings.js';
--- a/src/core/books/jobs.ts
+++ b/src/core/books/jobs.ts
@@ -1,3 +1,4 @@
+/** A job as it is scheduled: made from its records, and which of its tasks waits next. */
 import type { JobSpec } from '../../model/job.js';
 import { Bits, type ChunkRecord, type JobRecord, type JobUse } from '../storage/index.js';
 import type { Chunk, JobRun } from './runs.js';
--- a/src/core/books/runs.ts
+++ b/src/core/books/runs.ts
@@ -1,3 +1,4 @@
+/** The forms of jobs, chunks of their tasks, placements and machines while they are scheduled. */
 import type { JobSpec } from '../../model/job.js';
 import type { Fits, MachineType } from '../../model/machine.js';
 import type { Match } from '../../policy/matching.js';
--- a/src/core/checkins.ts
+++ b/src/core/checkins.ts
@@ -1,6 +1,7 @@
+/** Workers' reports: what they prove of placements, and the orders that they are answered with. */
 import { pieceName } from '../model/job.js';
 import type { Order, Report, TaskReport } from '../model/report.js';
-import { enoughEvidence, evidence, suspect, suspectMachines } from './blame.js';
+import { enoughEvidence, evidence, suspect, suspectMachines } from './failures.js';
 import type { Books } from './books/books.js';
 import { chunkOf } from './books/jobs.js';
 import type { Effect } from './effects.js';
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -1,3 +1,4 @@
+/** The core of a controller: commands in, effects out, and the turn of each of its parts in a step. */
 import { Meter, Pressure, type Demand } from '../admission/index.js';
 import type { Operators } from '../config/operators.js';
 import type { Settings } from '../config/settings.js';
@@ -7,7 +8,7 @@
 import { Recovery } from '../recovery/index.js';
 import { retryPolicies, type Random } from '../retry/index.js';
 import { Committer } from './storage/index.js';
-import { Desk } from './desk.js';
+import { UserRequests } from './userrequests.js';
 import { Dispatcher } from './dispatcher.js';
 import type { Clock, Command, Effect, Log } from './effects.js';
 import { Fleet } from './fleet.js';
@@ -46,7 +47,7 @@
   private readonly upgrade: Upgrade;
   private readonly leaving: Leaving;
   private readonly committer: Committer;
-  private readonly desk: Desk;
+  private readonly userRequests: UserRequests;
   private readonly neighbours: Neighbours;
   private readonly reports: Reports;
   private readonly clock: Clock = { now: 0, wall: 0 };
@@ -92,12 +93,12 @@
     this.replica = new Replica(
       {
         jobChanged: (id, now) => {
-          if (now?.state === 'open') this.desk.taken(id);
+          if (now?.state === 'open') this.userRequests.taken(id);
           this.dispatcher.books.jobChanged(id, now);
         },
         machineChanged: (host, now) => this.dispatcher.books.machineChanged(host, now),
         shardChanged: () => (this.shardsChanged = true),
-        weighty: (change) => this.neighbours.noteWeighty(change),
+        decisive: (change) => this.neighbours.noteDecisive(change),
         sealed: (key, why) =>
           why === null
             ? this.log('info', 'record can be read again', { key })
@@ -137,7 +138,15 @@
       log,
     );
     this.neighbours = new Neighbours(settings, operators, run, replica, clock, ttlMs);
-    this.desk = new Desk(settings, replica, committer, clock, limits.waiting, this.fair, random);
+    this.userRequests = new UserRequests(
+      settings,
+      replica,
+      committer,
+      clock,
+      limits.waiting,
+      this.fair,
+      random,
+    );
     this.dispatcher = new Dispatcher(settings, operators, run, replica, committer, clock, log, matcher);
     this.upgrade = new Upgrade(settings, replica, committer, this.membership, clock, ttlMs, log);
     this.fleet = new Fleet(settings, operators, replica, committer, clock, retry.cloud, random, log);
@@ -170,7 +179,7 @@
     this.neighbours.jobs = () => this.rebuilding.jobs;
     this.dispatcher.books.canPlace = () => !this.view.stale;
     this.dispatcher.books.mayStart = () => this.rebuilding.sureOfAbsence && this.view.current;
-    this.desk.sureOfAbsence = () => this.rebuilding.sureOfAbsence;
+    this.userRequests.sureOfAbsence = () => this.rebuilding.sureOfAbsence;
     committer.conflicted = (failed, epoch) => this.rebuilding.conflicted(failed, epoch);
     this.mostSockets = limits.sockets.most;
     if (this.fair) this.dispatcher.more = () => ({ admission: this.admissionSummary() });
@@ -187,7 +196,7 @@
         run,
         seen: (token) => this.rebuilding.token(token),
         fresh: () => this.view.answersWorkers && this.rebuilding.acting,
-        strained: () => this.committer.health < 1 || this.desk.crowded,
+        strained: () => this.committer.health < 1 || this.userRequests.crowded,
         leading: () => this.membership.leading,
         handOver: (shard, to, toRun) => this.membership.handOver(shard, to, toRun),
       },
@@ -217,14 +226,14 @@
     const out: Effect[] = [];
     const now = (this.clock.now = clock.now);
     this.clock.wall = clock.wall;
-    this.desk.out = out;
+    this.userRequests.out = out;
     this.view.wake();
     // It was told to begin anew: nothing that it does counts any more.
     if (this.ended) return out;
     for (const c of commands) this.handle(c, out);
     if (this.rebuilding.step(out)) {
       this.ended = true;
-      this.desk.abandon(out);
+      this.userRequests.abandon(out);
       return out;
     }
     const { acting } = this.rebuilding;
@@ -249,7 +258,7 @@
     this.dispatcher.tick(out);
     this.reports.tick(out);
     if (this.fair) this.divide(out);
-    this.desk.pump(out, this.view.vouchedAt);
+    this.userRequests.pump(out, this.view.vouchedAt);
     this.committer.pump(now, out);
     if (this.view.wantsVouching) this.neighbours.ask(out);
     this.tell(out, null);
@@ -315,9 +324,9 @@
     const { now } = this.clock;
     return {
       tasks: Math.round(this.committer.tasksWanted(now)),
-      users: Math.round(this.desk.usersWanted()),
+      users: Math.round(this.userRequests.usersWanted()),
       behindS: this.committer.behindS,
-      kinds: this.fair ? this.desk.kindsWanted() : [],
+      kinds: this.fair ? this.userRequests.kindsWanted() : [],
       follows: this.planning.follows,
     };
   }
@@ -330,7 +339,7 @@
     // The state service may take less than it is said to.
     const { health } = this.committer;
     const { factor } = this.pressure.picture;
-    this.desk.admit(share, factor * health, out);
+    this.userRequests.admit(share, factor * health, out);
   }
 
   /** Looks at all that is scarce here; as often as the process tells of itself. */
@@ -345,7 +354,7 @@
       time: this.reports.busy,
       ...this.told,
     });
-    this.desk.short = picture.factor < 1 ? picture.tightest : 'writes';
+    this.userRequests.short = picture.factor < 1 ? picture.tightest : 'writes';
   }
 
   private admissionSummary(): object {
@@ -404,7 +413,7 @@
   /** For operators: who was turned away since this was last told, most first. */
   private tellAway(): void {
     const { now } = this.clock;
-    const { away } = this.desk;
+    const { away } = this.userRequests;
     if (away.size === 0 || now - this.toldAwayAt < this.settings.workers.lease_s * 500) return;
     this.toldAwayAt = now;
     const most = [...away].sort((a, b) => b[1] - a[1]);
@@ -430,13 +439,13 @@
       case 'tick':
         break;
       case 'submit':
-        this.desk.submit(c.rid, c.spec, out);
+        this.userRequests.submit(c.rid, c.spec, out);
         break;
       case 'query':
-        this.desk.query(c.rid, c.id, out);
+        this.userRequests.query(c.rid, c.id, out);
         break;
       case 'withdraw':
-        this.desk.withdraw(c.rid, c.id, out);
+        this.userRequests.withdraw(c.rid, c.id, out);
         break;
       case 'checkin':
         this.reports.checkin(c.rid, c.report, c.from ?? null, out);
@@ -463,7 +472,7 @@
         break;
       }
       case 'turned':
-        this.desk.told(c.list);
+        this.userRequests.told(c.list);
         break;
       case 'pulse':
         this.neighbours.pulse(c.from, c.pulse);
@@ -498,7 +507,7 @@
       case 'epoch':
         this.rebuilding.read(c.sentAt, c.epoch);
         this.view.read(c.sentAt, c.epoch);
-        this.desk.epochRead(c.sentAt, c.epoch, out, this.view.vouchedFor);
+        this.userRequests.epochRead(c.sentAt, c.epoch, out, this.view.vouchedFor);
         break;
       case 'audited':
         this.rebuilding.audited(c.from, c.items, c.more, c.epoch);
--- a/src/core/dispatcher.ts
+++ b/src/core/dispatcher.ts
@@ -1,3 +1,4 @@
+/** Takes up and lets go of shards, and gives placement rounds and upkeep their turns. */
 import type { Operators } from '../config/operators.js';
 import type { Settings } from '../config/settings.js';
 import type { Matcher } from '../policy/matching.js';
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,3 +1,4 @@
+/** The leader and the cloud: machines that are rented, found, given to shards and returned. */
 import type { Operators } from '../config/operators.js';
 import type { Settings } from '../config/settings.js';
 import { isPremium, urgencyRank } from '../model/job.js';
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -1,3 +1,4 @@
+/** Presence, leadership and the grants of shards. */
 import type { Operators } from '../config/operators.js';
 import type { Settings } from '../config/settings.js';
 import { Attempts, type Random, type RetryPolicy } from '../retry/index.js';
--- a/src/core/memory.ts
+++ b/src/core/memory.ts
@@ -1,3 +1,4 @@
+/** What a controller knows, as records: told to others after the state service has lost data. */
 import type { Data, Kind } from '../formats/index.js';
 import { merge } from '../rebuild/index.js';
 import {
--- a/src/core/neighbours.ts
+++ b/src/core/neighbours.ts
@@ -1,3 +1,4 @@
+/** The other controllers of the deployment: what they tell of themselves, and what they vouch for. */
 import type { Demand } from '../admission/index.js';
 import type { Settings } from '../config/settings.js';
 import type { Operators } from '../config/operators.js';
@@ -45,7 +46,7 @@
     this.vouching = new Vouching(run, members, Math.min(ttlMs / 4, operators['grant-s'] * 50));
   }
 
-  noteWeighty(change: Change): void {
+  noteDecisive(change: Change): void {
     this.recent.note(change);
   }
 
--- a/src/core/planning.ts
+++ b/src/core/planning.ts
@@ -1,3 +1,4 @@
+/** The plan that divides the write budget among controllers, teams and classes, and who follows it. */
 import {
   alonePart,
   differs,
--- a/src/core/rebuilding.ts
+++ b/src/core/rebuilding.ts
@@ -1,3 +1,4 @@
+/** Notices that the state service has lost data, and brings back what controllers still know. */
 import type { Settings } from '../config/settings.js';
 import type { Data } from '../formats/index.js';
 import {
--- a/src/core/replica.ts
+++ b/src/core/replica.ts
@@ -1,3 +1,4 @@
+/** A controller's copy of the state, kept up by the watch. */
 import { inspect, type Data, type Kind } from '../formats/index.js';
 import type { Plan } from '../admission/index.js';
 import { firstLevel, noWish, type Ability, type Levels, type Wish } from '../levels/index.js';
@@ -45,7 +46,7 @@
   machineChanged(host: string, now: Machine | undefined): void;
   shardChanged(shard: number): void;
   /** A change that others must not miss: a job's end, a grant, leadership. */
-  weighty(change: Change): void;
+  decisive(change: Change): void;
   /** A record that is not acted on, and why; null: it can be read again. */
   sealed(key: string, why: string | null): void;
   levelChanged(): void;
@@ -279,7 +280,7 @@
     const here = data !== undefined && data !== null && this.readable(ref, key, data);
     const over = ref.kind === 'job' && here && (data as { s?: unknown }).s !== 'open';
     if (over || ref.kind === 'shard' || ref.kind === 'lead' || ref.kind === 'chief')
-      this.listener.weighty({ key, data, stamp });
+      this.listener.decisive({ key, data, stamp });
     switch (ref.kind) {
       case 'lead':
       case 'chief': {
--- a/src/core/round/floors.ts
+++ b/src/core/round/floors.ts
@@ -1,5 +1,6 @@
+/** Teams and classes that had less than their floor go first in a round. */
 import { kindName, type KindUse } from '../../admission/index.js';
-import { suspect } from '../blame.js';
+import { suspect } from '../failures.js';
 import type { Books } from '../books/books.js';
 import { waitingCount } from '../books/jobs.js';
 import type { JobRun } from '../books/runs.js';
--- a/src/core/round/gangs.ts
+++ b/src/core/round/gangs.ts
@@ -1,10 +1,11 @@
+/** Placement of gangs, and what is kept or withheld for those that find no room. */
 import { urgencyRank } from '../../model/job.js';
 import { timesFits, type Fits } from '../../model/machine.js';
 import { typeAllowed } from '../../policy/admission.js';
 import { limitsOf, slackS } from '../../policy/deadlines.js';
 import { spotAllowed, zoneOpen } from '../../policy/guardrails.js';
 import { pressingS } from '../../policy/order.js';
-import { suspect } from '../blame.js';
+import { suspect } from '../failures.js';
 import type { Books } from '../books/books.js';
 import { nextGangAttempt, nextWaiting, waitingCount } from '../books/jobs.js';
 import { roomOf } from '../books/machines.js';
--- a/src/core/round/leftover.ts
+++ b/src/core/round/leftover.ts
@@ -1,6 +1,7 @@
+/** Room that is kept for others opens to work that has waited for long. */
 import { typeAllowed } from '../../policy/admission.js';
 import { spotAllowed } from '../../policy/guardrails.js';
-import { suspect } from '../blame.js';
+import { suspect } from '../failures.js';
 import type { Books } from '../books/books.js';
 import type { JobRun, MachineRun } from '../books/runs.js';
 import { matches } from './fit.js';
--- a/src/core/round/round.ts
+++ b/src/core/round/round.ts
@@ -1,9 +1,10 @@
+/** One placement round: in which order work is placed. */
 import { urgencyRank } from '../../model/job.js';
 import { withinGuarantee } from '../../policy/admission.js';
 import { promptGuarantee } from '../../policy/deadlines.js';
 import { gpuShare } from '../../policy/gpus.js';
 import { inOrder, pressingS } from '../../policy/order.js';
-import { suspect } from '../blame.js';
+import { suspect } from '../failures.js';
 import type { Books } from '../books/books.js';
 import { waitingCount } from '../books/jobs.js';
 import type { JobRun } from '../books/runs.js';
--- a/src/core/round/singles.ts
+++ b/src/core/round/singles.ts
@@ -1,6 +1,7 @@
+/** Placement of the tasks of arrays and services, one by one. */
 import { fits, timesFits } from '../../model/machine.js';
 import { zoneOpen } from '../../policy/guardrails.js';
-import { suspect } from '../blame.js';
+import { suspect } from '../failures.js';
 import { nextWaiting, waitingCount } from '../books/jobs.js';
 import { roomOf } from '../books/machines.js';
 import type { JobRun } from '../books/runs.js';
--- a/src/core/storage/committer.ts
+++ b/src/core/storage/committer.ts
@@ -1,3 +1,4 @@
+/** The write budget: groups changes into transactions by rank, and finds out what became of each. */
 import { Meter } from '../../admission/index.js';
 import type { Condition, Txn, Write } from '../../wire/store.js';
 import { txnOut } from '../../wire/store.js';
--- a/src/core/storage/records.ts
+++ b/src/core/storage/records.ts
@@ -1,3 +1,4 @@
+/** The durable records and their stored forms. */
 import type { Plan } from '../../admission/index.js';
 import type { Data } from '../../formats/index.js';
 import { unaware, type Ability, type Wish } from '../../levels/index.js';
--- a/src/core/storage/taskwriter.ts
+++ b/src/core/storage/taskwriter.ts
@@ -1,3 +1,4 @@
+/** Makes the states of tasks durable. */
 import type { Settings } from '../../config/settings.js';
 import { urgencyRank } from '../../model/job.js';
 import type { Txn, Write } from '../../wire/store.js';
@@ -15,7 +16,7 @@
 import type { Replica } from '../replica.js';
 import { JobFinisher } from './finisher.js';
 import { LogTruncator, LogWriter } from './tasklog/index.js';
-import { mostFailedKept } from '../blame.js';
+import { mostFailedKept } from '../failures.js';
 import type { Chunk, JobRun } from '../books/runs.js';
 
 /** Conditions that a transaction may have for each operation. */
--- a/src/core/summary.ts
+++ b/src/core/summary.ts
@@ -1,5 +1,6 @@
+/** What operators are told of the fleet and of what waits, in the log. */
 import { timesFits } from '../model/machine.js';
-import { suspect } from './blame.js';
+import { suspect } from './failures.js';
 import type { Books } from './books/books.js';
 import { waitingCount } from './books/jobs.js';
 import type { JobRun } from './books/runs.js';
--- a/src/core/upgrade.ts
+++ b/src/core/upgrade.ts
@@ -1,3 +1,4 @@
+/** The leader's care for the level in force. */
 import type { Settings } from '../config/settings.js';
 import {
   decide,
--- a/src/core/upkeep.ts
+++ b/src/core/upkeep.ts
@@ -1,3 +1,4 @@
+/** Machines that are given up or back. */
 import type { MachineType } from '../model/machine.js';
 import { type Committer, machineData, machineKey, Rank, shardKey } from './storage/index.js';
 import type { Books } from './books/books.js';
--- a/src/core/desk.ts
+++ b/src/core/userrequests.ts
@@ -1,3 +1,4 @@
+/** Users' requests: submissions, polls and cancellations, and when each may be answered. */
 import {
   Admission,
   Bucket,
@@ -69,7 +70,7 @@
  * state's revision was read later than the request came and the watch has reached it: no user may be told
  * something older than another node has told them already.
  */
-export class Desk {
+export class UserRequests {
   private waiters: Waiter[] = [];
   private reading = false;
   private readAt = -Infinity;
--- a/src/formats/often.ts
+++ b/src/formats/often.ts
@@ -1,3 +1,4 @@
+/** Formats of the records that there are many of. */
 import { fieldsOf, type Data, type Format } from './kinds.js';
 
 /**
--- a/src/formats/registry.ts
+++ b/src/formats/registry.ts
@@ -1,3 +1,4 @@
+/** All formats of all kinds of records, and the check of a record before it is used. */
 import type { Data, Format, Kind } from './kinds.js';
 import { block, chunk, job, log, machine } from './often.js';
 import { inc, lead, levelRecord, members, node, plan, shard, teams, types, wish } from './seldom.js';
--- a/src/levels/levels.ts
+++ b/src/levels/levels.ts
@@ -1,3 +1,4 @@
+/** Levels: what needs which, what a program can do, and what is in force. */
 import { formats } from '../formats/index.js';
 
 /** What a program can do, as its presence tells. */
--- a/src/rebuild/merge.ts
+++ b/src/rebuild/merge.ts
@@ -1,3 +1,4 @@
+/** Puts records of several memories together after a loss of data. */
 import type { Data, Kind } from '../formats/index.js';
 
 type Place = [number, number, string];
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -1,3 +1,4 @@
+/** The client of the state service. */
 import type { CommitOutcome } from '../core/effects.js';
 import { prefix } from '../core/storage/index.js';
 import { HttpClient } from '../net/client.js';
--- a/src/store/embedded.ts
+++ b/src/store/embedded.ts
@@ -1,3 +1,4 @@
+/** The store in this process, as the core's state service. */
 import type { CommitOutcome } from '../core/effects.js';
 import { prefix } from '../core/storage/index.js';
 import type { Changes, Page, StateService } from '../state/service.js';
--- a/src/store/engine.ts
+++ b/src/store/engine.ts
@@ -1,3 +1,4 @@
+/** The store: commits made durable in groups, leases, watches. */
 import type { Log } from '../core/effects.js';
 import type { Change, Txn } from '../wire/store.js';
 import type { Disk } from './disk.js';
--- a/src/store/http.ts
+++ b/src/store/http.ts
@@ -1,3 +1,4 @@
+/** The state service's protocol over HTTP. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import {
   changesOut,
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -1,3 +1,4 @@
+/** The state service as a product of this repository: its one face. */
 export { Engine, type Outcome } from './engine.js';
 export { EmbeddedStore } from './embedded.js';
 export { format, LevelDisk, type Disk } from './disk.js';
--- a/src/store/keyspace.ts
+++ b/src/store/keyspace.ts
@@ -1,3 +1,4 @@
+/** Keys, leases and remembered changes of the store, by the rules of the protocol. */
 import BTreeModule from 'sorted-btree';
 import type { Change, Txn } from '../wire/store.js';
 
--- a/test/committer.test.ts
+++ b/test/committer.test.ts
@@ -14,7 +14,7 @@
   jobChanged: quiet,
   machineChanged: quiet,
   shardChanged: quiet,
-  weighty: quiet,
+  decisive: quiet,
   sealed: quiet,
   levelChanged: quiet,
   incarnationChanged: quiet,
--- a/test/measure.ts
+++ b/test/measure.ts
@@ -283,6 +283,7 @@
   match,
   flood: async () => (await import('./measureflood.js')).flood(say),
   loss: async () => (await import('./measureloss.js')).loss(say),
+  writes: async () => (await import('./measurewrites.js')).writes(say),
   levels: async () => (await import('./measurelevels.js')).levels(say),
   restart,
   batch: () => batch(null),
--- /dev/null
+++ b/test/measurewrites.ts
@@ -0,0 +1,65 @@
+/** What a start costs in writes, by the tasks of a job, on the scripted world: `npm run measure -- writes`. Figures are scripted. */
+import { readKey } from '../src/core/storage/index.js';
+import type { Write } from '../src/wire/store.js';
+import { spec, World } from './world.js';
+
+type Say = (text: string) => void;
+
+const startsAtLeast = 1200;
+const jobsAtLeast = 4;
+const runS = 20;
+const machines = 80;
+const firstRequest = 500_000;
+const kinds = ['accept', 'tasks', 'final', 'drop', 'other'] as const;
+type WriteKind = (typeof kinds)[number];
+
+function kindOf({ key, data }: Write): WriteKind {
+  if (data === undefined) return /^dp\/(t|log)\//.test(key) ? 'drop' : 'other';
+  const ref = readKey(key);
+  if (ref?.kind === 'log' || ref?.kind === 'chunk') return 'tasks';
+  if (ref?.kind !== 'job') return 'other';
+  if (data['s'] === 'done') return 'final';
+  return data['t'] === undefined ? 'accept' : 'tasks';
+}
+
+interface Cost {
+  starts: number;
+  writes: Record<WriteKind, number>;
+  tookS: number;
+  broken: number;
+}
+
+function costOf(tasksPerJob: number, operators: Record<string, number>): Cost {
+  const w = new World(3, operators, 1);
+  w.capacity = machines;
+  w.runS = runS;
+  w.play(10);
+  const jobs = Math.max(jobsAtLeast, Math.ceil(startsAtLeast / tasksPerJob));
+  const from = w.commits.length;
+  const beganAt = w.now;
+  for (let i = 0; i < jobs; i++) {
+    const job = spec(`req-${i + 1}`, { tasks: tasksPerJob, team: 'blue', cpus: 0.2 });
+    w.nodes[i % w.nodes.length].push({ c: 'submit', rid: firstRequest + i, spec: job });
+  }
+  w.playUntil(() => w.finished.length >= jobs * tasksPerJob, 600);
+  const tookS = (w.now - beganAt) / 1000;
+  w.play(10);
+  const writes: Record<WriteKind, number> = { accept: 0, tasks: 0, final: 0, drop: 0, other: 0 };
+  for (const { txn, outcome } of w.commits.slice(from))
+    if (outcome.r === 'ok') for (const write of txn.apply) writes[kindOf(write)]++;
+  return { starts: w.starts.length, writes, tookS, broken: w.broken.length };
+}
+
+export async function writes(say: Say): Promise<void> {
+  say('tasks a job, task log: writes a start in all (accept, tasks, final, drop, other), starts a second');
+  for (const tasks of [1, 4, 8, 16, 40, 200, 600])
+    for (const log of [0, 1]) {
+      const cost = costOf(tasks, { 'task-log': log });
+      const a = (n: number): string => (n / cost.starts).toFixed(4);
+      const all = kinds.reduce((sum, kind) => sum + cost.writes[kind], 0);
+      const parts = kinds.map((kind) => a(cost.writes[kind])).join(', ');
+      const rate = (cost.starts / cost.tookS).toFixed(1);
+      const wrong = cost.broken > 0 ? `  ${cost.broken} RULES BROKEN` : '';
+      say(`${tasks}, ${log ? 'on' : 'off'}: ${a(all)} (${parts}), ${rate}${wrong}`);
+    }
+}
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { enoughEvidence, evidence } from '../src/core/blame.js';
+import { enoughEvidence, evidence } from '../src/core/failures.js';
 import { encodeFrame, FrameReader } from '../src/peers/frames.js';
 import { box, spec, World } from './world.js';
 
--- a/test/scale.test.ts
+++ b/test/scale.test.ts
@@ -141,7 +141,7 @@
       jobChanged: () => undefined,
       machineChanged: () => undefined,
       shardChanged: () => undefined,
-      weighty: () => undefined,
+      decisive: () => undefined,
       sealed: () => undefined,
       levelChanged: () => undefined,
       incarnationChanged: () => undefined,
--- a/test/tasklog.test.ts
+++ b/test/tasklog.test.ts
@@ -174,7 +174,7 @@
 
 test('an older checkpoint that is read late does not take the place of what the log has told since', () => {
   const quiet = (): void => undefined;
-  const listener = { jobChanged: quiet, machineChanged: quiet, shardChanged: quiet, weighty: quiet };
+  const listener = { jobChanged: quiet, machineChanged: quiet, shardChanged: quiet, decisive: quiet };
   const more = { sealed: quiet, levelChanged: quiet, incarnationChanged: quiet };
   const replica = new Replica({ ...listener, ...more }, new Levels(abilityOf('test')));
   const { entries, states } = historyOf([1, 2, 1, 3]);
@@ -263,7 +263,7 @@
 
 test('a refused write is built again without the job that was cancelled, before the view has caught up', () => {
   const quiet = (): void => undefined;
-  const listener = { jobChanged: quiet, machineChanged: quiet, shardChanged: quiet, weighty: quiet };
+  const listener = { jobChanged: quiet, machineChanged: quiet, shardChanged: quiet, decisive: quiet };
   const more = { sealed: quiet, levelChanged: quiet, incarnationChanged: quiet };
   const replica = new Replica({ ...listener, ...more }, new Levels(abilityOf('test')));
   replica.apply({ key: 'dp/shard/0', data: { owner: 'n0', run: 'r' }, stamp: 5 });
