--- a/scale/messages.ts
+++ b/scale/messages.ts
@@ -54,7 +54,7 @@
   refusedWrites: number;
   bytesWritten: number;
   keys: number;
-  /** Writes by the kind of what was written, as `accept`, `placement`, `end`, `final`, `cancel`, `machine`, `other`. */
+  /** Writes by the kind of what was written, as `accept`, `placement`, `end`, `log`, `final`, `cancel`, `machine`, `other`. */
   writesByKind: Record<string, number>;
 }
 
--- a/scale/stateservice.ts
+++ b/scale/stateservice.ts
@@ -5,7 +5,7 @@
 import type { Txn, Write } from '../src/wire/store.js';
 import { isUrgentJob } from './jobs.js';
 import { now, type PlatformCounts, type PlatformStart } from './messages.js';
-import { kindOfWrite, StoredTasks } from './writekinds.js';
+import { purposeOf, StoredTasks } from './writekinds.js';
 
 const conditionsPerOperation = 4;
 const usualDelayMs = 8;
@@ -100,9 +100,9 @@
   }
 
   private note(write: Write): void {
-    const { kind, job } = kindOfWrite(write, this.stored);
+    const { kind, placed } = purposeOf(write, this.stored);
     this.counts.writesByKind[kind] = (this.counts.writesByKind[kind] ?? 0) + 1;
-    if (kind === 'placement' && isUrgentJob(job)) this.placed(job, now());
+    for (const job of placed) if (isUrgentJob(job)) this.placed(job, now());
   }
 }
 
--- a/scale/writekinds.ts
+++ b/scale/writekinds.ts
@@ -1,8 +1,15 @@
 /** What a write to the state service is for, by its key and by what was stored there before. */
-import { readKey } from '../src/core/storage/index.js';
+import { readKey, readLog } from '../src/core/storage/index.js';
 import type { Write } from '../src/wire/store.js';
 
-export type WriteKind = 'accept' | 'placement' | 'end' | 'final' | 'cancel' | 'machine' | 'drop' | 'other';
+export type WriteKind =
+  'accept' | 'placement' | 'end' | 'log' | 'final' | 'cancel' | 'machine' | 'drop' | 'other';
+
+export interface WritePurpose {
+  kind: WriteKind;
+  /** Jobs of which it places tasks. */
+  placed: string[];
+}
 
 interface StoredJob {
   s?: string;
@@ -34,21 +41,26 @@
   }
 }
 
-export function kindOfWrite(write: Write, stored: StoredTasks): { kind: WriteKind; job: string } {
+export function purposeOf(write: Write, stored: StoredTasks): WritePurpose {
   const ref = readKey(write.key);
   if (write.data === undefined) {
     stored.forget(write.key);
-    return { kind: 'drop', job: '' };
+    return { kind: 'drop', placed: [] };
   }
-  if (ref?.kind === 'block' || ref?.kind === 'machine') return { kind: 'machine', job: '' };
+  if (ref?.kind === 'block' || ref?.kind === 'machine') return { kind: 'machine', placed: [] };
+  if (ref?.kind === 'log') return { kind: 'log', placed: placedByLog(write.data) };
   if (ref?.kind === 'chunk') {
     const isNew = stored.hasNewPlacements(write.key, write.data as TaskState);
-    return { kind: isNew ? 'placement' : 'end', job: ref.id };
+    return { kind: isNew ? 'placement' : 'end', placed: isNew ? [ref.id] : [] };
   }
-  if (ref?.kind !== 'job') return { kind: 'other', job: '' };
-  return { kind: kindOfJobWrite(write.key, write.data as StoredJob, stored), job: ref.id };
+  if (ref?.kind !== 'job') return { kind: 'other', placed: [] };
+  const kind = kindOfJobWrite(write.key, write.data as StoredJob, stored);
+  return { kind, placed: kind === 'placement' ? [ref.id] : [] };
 }
 
+const placedByLog = (data: unknown): string[] =>
+  readLog(data).flatMap((entry) => (entry.placed.length > 0 ? [entry.job] : []));
+
 function kindOfJobWrite(key: string, data: StoredJob, stored: StoredTasks): WriteKind {
   if (data.s === 'done') {
     stored.forget(key);
--- a/test/scalerun.test.ts
+++ b/test/scalerun.test.ts
@@ -6,7 +6,7 @@
 import { play } from '../scale/run.js';
 import { teamsOf } from '../scale/settings.js';
 import type { TaskEvent, UserEvent } from '../scale/messages.js';
-import { kindOfWrite, StoredTasks } from '../scale/writekinds.js';
+import { purposeOf, StoredTasks } from '../scale/writekinds.js';
 
 const cancelS = 38;
 
@@ -128,7 +128,7 @@
 test('writes are told apart by what is stored', () => {
   const stored = new StoredTasks();
   const kind = (key: string, data: Record<string, unknown> | undefined): string =>
-    kindOfWrite({ key, data }, stored).kind;
+    purposeOf({ key, data }, stored).kind;
   assert.equal(kind('dp/j/req-1', { s: 'open', spec: {} }), 'accept');
   assert.equal(kind('dp/t/req-1/0', { n: 1, d: '', p: [[0, 1, 'a']] }), 'placement');
   assert.equal(kind('dp/t/req-1/0', { n: 1, d: 'AQ==', p: [] }), 'end');
@@ -136,6 +136,12 @@
   assert.equal(kind('dp/j/req-2', { s: 'cancelled', t: { p: [[0, 1, 'a']] } }), 'cancel');
   assert.equal(kind('dp/j/req-2', { s: 'done' }), 'final');
   assert.equal(kind('dp/t/req-1/0', undefined), 'drop');
+  const entries = [
+    ['req-3', 0, 0, 1, 1, [[0, 1, 'a']], [], [], null],
+    ['req-4', 0, 1, 2, 1, [], [0], [0], null],
+  ];
+  const record = { key: 'dp/log/0/5-0', data: { e: entries } };
+  assert.deepEqual(purposeOf(record, stored), { kind: 'log', placed: ['req-3'] });
 });
 
 test('a small run: real controllers, hollow workers and users, the owner killed, no rule broken', async () => {
