Task log: its writer writes nothing for a shard that is not this process's any more

Found on reading again: an intent that waited in the committer when the shard was lost could have cleared cancelled jobs under the next owner's grant. Clears also gather as ends do, so a storm of cancellations does not take a write each. The test fails without the guard.

--- a/src/core/storage/tasklog/writer.ts
+++ b/src/core/storage/tasklog/writer.ts
@@ -25,6 +25,8 @@
 
 /** What the log's writer needs of its owner. */
 export interface LoggedTasks {
+  /** Whether the log's shard is this process's. */
+  owned(shard: number): boolean;
   /** Whether a job may be written: it is this process's, and nothing else is being done about it. */
   writable(job: JobRun): boolean;
   failedOn(job: JobRun, chunk: Chunk): string[];
@@ -54,8 +56,8 @@
 export class LogWriter {
   /** Chunks with changes to be written, in order of arrival. */
   private readonly changed = new Map<Chunk, Waiting>();
-  /** Cancelled jobs of which nothing is left: their last placements go from the log. */
-  private readonly cleared = new Set<string>();
+  /** Cancelled jobs of which nothing is left, and since when, ms: their last placements go from the log. */
+  private readonly cleared = new Map<string, number>();
   private built: Built[] = [];
   private builtClears: string[] = [];
   private asked = false;
@@ -82,8 +84,8 @@
   }
 
   /** Nothing of a cancelled job is on any machine: what the log says of it is to end. */
-  clear(id: string): void {
-    this.cleared.add(id);
+  clear(id: string, now: number): void {
+    this.cleared.set(id, now);
   }
 
   /** To be called every step. */
@@ -101,12 +103,17 @@
   private isDue(now: number): boolean {
     for (const waiting of this.changed.values())
       if (now - waiting.since >= this.delayOf(waiting)) return true;
-    return this.cleared.size > 0;
+    for (const since of this.cleared.values()) if (now - since >= this.endDelayMs) return true;
+    return false;
+  }
+
+  private get endDelayMs(): number {
+    return this.limits.reportS * 1000 * endDelayShare;
   }
 
   /** Nothing waits while the budget is free but ends, which nobody waits for. */
   private delayOf({ job, ticket }: Waiting): number {
-    if (ticket.rank === Rank.cleanup) return this.limits.reportS * 1000 * endDelayShare;
+    if (ticket.rank === Rank.cleanup) return this.endDelayMs;
     if (!this.committer.isShort) return 0;
     return isUrgent(job) ? urgentDelayMs : placementDelayMs;
   }
@@ -115,7 +122,8 @@
     this.built = [];
     this.builtClears = [];
     const grant = this.replica.shards.get(this.shard);
-    if (!grant) return this.withdraw();
+    // Guards against writing under the grant of whoever has the shard now.
+    if (!grant || !this.tasks.owned(this.shard)) return this.withdraw();
     const when: Condition[] = [{ key: shardKey(this.shard), stamp: grant.stamp }];
     const entries = [...this.buildChanges(when), ...this.buildClears()];
     if (entries.length === 0) return this.withdraw();
@@ -183,7 +191,7 @@
 
   private buildClears(): LogEntry[] {
     const entries: LogEntry[] = [];
-    for (const id of this.cleared) {
+    for (const id of this.cleared.keys()) {
       this.builtClears.push(id);
       for (const [number, state] of this.replica.chunks.get(id) ?? []) {
         const { revision, last } = state;
--- a/src/core/storage/taskwriter.ts
+++ b/src/core/storage/taskwriter.ts
@@ -89,7 +89,8 @@
 
   /** A cancelled job is over and nothing of it is left: its tasks' records go. */
   dropChunks(job: JobRun): void {
-    if (this.isLogged(job) && this.revised(job).length > 0) this.logOf(job.shard).clear(job.id);
+    if (this.isLogged(job) && this.revised(job).length > 0)
+      this.logOf(job.shard).clear(job.id, this.clock.now);
     this.finisher.dropChunks(job);
   }
 
@@ -128,6 +129,7 @@
       reportS: workers.report_s,
     };
     return new LogWriter(shard, limits, this.replica, this.committer, {
+      owned: (shard) => this.owner.owned.has(shard),
       writable: (job) => this.isWritable(job),
       failedOn,
       durable: (job, chunk, version) => this.noteDurable(job, chunk, version),
--- a/test/tasklog.test.ts
+++ b/test/tasklog.test.ts
@@ -270,7 +270,9 @@
   const intents: Intent[] = [];
   const committer = { isShort: false, add: (intent: Intent) => intents.push(intent) } as unknown as Committer;
   const blocked: string[] = [];
+  let owned = true;
   const writer = new LogWriter(0, { valueKb: 32, conditions: 96, reportS: 2 }, replica, committer, {
+    owned: () => owned,
     writable: () => true,
     failedOn: () => [],
     durable: quiet,
@@ -293,6 +295,17 @@
   writer.tick(0);
   assert.deepEqual(jobsOf(intents[1].build()), ['req-1', 'req-3']);
   assert.deepEqual(blocked, ['req-2']);
+  // Cancelled jobs are cleared by the shard's owner only, also where the writer was asked before it lost the shard.
+  const placed = [{ index: 0, attempt: 1, host: 'n-1' }];
+  const nothing = { done: [], freed: [], failed: null };
+  const entry = { job: 'req-1', chunk: 0, from: 0, to: 1, last: 1, placed, ...nothing };
+  replica.apply({ key: 'dp/log/0/5-9', data: logData([entry]), stamp: 7 });
+  intents[1].conflict(['dp/shard/0'], 100);
+  writer.clear('req-1', 0);
+  writer.tick(10_000);
+  assert.deepEqual(readLog(intents[2].build()!.apply[0].data)[0].freed, [0]);
+  owned = false;
+  assert.equal(intents[2].build(), null);
 });
 
 test('when a job of a write was cancelled meanwhile, the others are written again before the view has caught up', () => {
