--- a/test/admission.test.ts
+++ b/test/admission.test.ts
@@ -10,9 +10,9 @@
   Tickets,
   type Entry,
 } from '../src/admission/index.js';
-import { Flood, flooding, floodable } from './flood.js';
-import { ownerOf, leaderOf } from './rolls.js';
-import { World } from './world.js';
+import { Flood, flooding, floodable } from './support/flood.js';
+import { ownerOf, leaderOf } from './support/rolls.js';
+import { World } from './support/world.js';
 
 const amount = fc.double({ min: 0, max: 100, noNaN: true });
 const claim = fc.record({
--- a/test/answers.test.ts
+++ b/test/answers.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { bounce, longWorld, meeting, pick } from './meetings.js';
-import { leaderOf, ownerOf } from './rolls.js';
-import { sizes } from './sizes.js';
-import { Traffic } from './traffic.js';
-import type { World } from './world.js';
+import { bounce, longWorld, meeting, pick } from './support/meetings.js';
+import { leaderOf, ownerOf } from './support/rolls.js';
+import { sizes } from './support/sizes.js';
+import { Traffic } from './support/traffic.js';
+import type { World } from './support/world.js';
 
 /** Answers of the state service are under way for some time, so that what one node knows the others do not know yet. */
 function slowly(w: World): void {
--- a/test/control.test.ts
+++ b/test/control.test.ts
@@ -3,7 +3,7 @@
 import { join } from 'node:path';
 import { test } from 'node:test';
 import { seeded } from '../src/retry/index.js';
-import { pause, withSite } from './site.js';
+import { pause, withSite } from './support/site.js';
 
 test('control: arrays, gangs, failures, limits and output, each with one clear end', () =>
   withSite(async (s) => {
--- a/test/leaders.test.ts
+++ b/test/leaders.test.ts
@@ -1,7 +1,7 @@
-import { bounce, cancelS, kill, longWorld, meeting, mixedTraffic, pick, some } from './meetings.js';
-import { leaderOf, ownerOf } from './rolls.js';
-import { Traffic } from './traffic.js';
-import { spec, type World } from './world.js';
+import { bounce, cancelS, kill, longWorld, meeting, mixedTraffic, pick, some } from './support/meetings.js';
+import { leaderOf, ownerOf } from './support/rolls.js';
+import { Traffic } from './support/traffic.js';
+import { spec, type World } from './support/world.js';
 
 /** Much work at once for a fleet that has to be rented first. */
 const burst = (w: World): Traffic =>
--- a/test/levelcli.test.ts
+++ b/test/levelcli.test.ts
@@ -12,7 +12,7 @@
 import { HttpClient } from '../src/net/client.js';
 import { freePort } from '../src/net/port.js';
 import { Engine, LevelDisk, storeServer } from '../src/store/index.js';
-import { settingsText } from './world.js';
+import { settingsText } from './support/world.js';
 
 const main = fileURLToPath(new URL('../src/main.js', import.meta.url));
 
--- a/test/levels.test.ts
+++ b/test/levels.test.ts
@@ -15,7 +15,7 @@
   type Standing,
 } from '../src/levels/index.js';
 import { jobData, wholeJobData } from '../src/core/storage/index.js';
-import { spec } from './world.js';
+import { spec } from './support/world.js';
 
 const can = (most: number): Ability => ({ program: `p${most}`, least: 1, most, features: [], formats: {} });
 const standing = (over: Partial<Standing>): Standing => ({
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -11,7 +11,7 @@
 import { Follower } from '../src/state/follower.js';
 import type { Page } from '../src/state/service.js';
 import { Connections } from '../src/users/connections.js';
-import { settingsText, spec } from './world.js';
+import { settingsText, spec } from './support/world.js';
 
 test('lanes: a flood in one does not starve the others, and what is needed least is turned away first', () => {
   const lane = (share: number, most = 100) => ({ share, most, patienceMs: 1000 });
--- a/test/matching.test.ts
+++ b/test/matching.test.ts
@@ -6,7 +6,7 @@
 import { ClassAdMatcher, inWords, wrongWith } from '../src/matching/index.js';
 import type { JobSpec, MatchSpec } from '../src/model/job.js';
 import type { Attributes } from '../src/policy/matching.js';
-import { withSite } from './site.js';
+import { withSite } from './support/site.js';
 
 const asks = (requirements: string | null, rank: string | null = null, attributes = {}): MatchSpec => ({
   requirements,
--- a/test/measureflood.ts
+++ b/test/measureflood.ts
@@ -1,7 +1,7 @@
 /** Admission in a flood, on the scripted world: `npm run measure -- flood`. Figures are simulated. */
 import { jain, maxMin, nextPlan, type Demand, type KindWant, type Member } from '../src/admission/index.js';
 import type { Operators } from '../src/config/operators.js';
-import { Flood, flooding, floodable } from './flood.js';
+import { Flood, flooding, floodable } from './support/flood.js';
 
 const ways: [string, Partial<Operators>][] = [
   ['today', {}],
--- a/test/measurelevels.ts
+++ b/test/measurelevels.ts
@@ -2,10 +2,10 @@
  * What levels and rolls cost and bring, on the scripted world: `npm run measure -- levels`. Figures are simulated.
  */
 import type { Txn } from '../src/wire/store.js';
-import { leaderOf, levelOf, ownerOf, restart } from './rolls.js';
-import { found, manyTasks, withWorkers } from './foundstate.js';
-import { Traffic } from './traffic.js';
-import { spec, World, type Node } from './world.js';
+import { leaderOf, levelOf, ownerOf, restart } from './support/rolls.js';
+import { found, manyTasks, withWorkers } from './support/foundstate.js';
+import { Traffic } from './support/traffic.js';
+import { spec, World, type Node } from './support/world.js';
 
 type Say = (text: string) => void;
 const quantile = (list: number[], q: number): string =>
--- a/test/measureloss.ts
+++ b/test/measureloss.ts
@@ -1,5 +1,5 @@
 /** A state service that has lost data, at fleet size, on the scripted world: `npm run measure -- loss`. Figures are simulated. */
-import { spec, World } from './world.js';
+import { spec, World } from './support/world.js';
 
 const losses: Record<string, (w: World) => void> = {
   wiped: (w) => w.state.lose([], 1),
--- a/test/measurewrites.ts
+++ b/test/measurewrites.ts
@@ -1,7 +1,7 @@
 /** What a start costs in writes, by the tasks of a job, on the scripted world: `npm run measure -- writes`. Figures are scripted. */
 import { readKey } from '../src/core/storage/index.js';
 import type { Write } from '../src/wire/store.js';
-import { spec, World } from './world.js';
+import { spec, World } from './support/world.js';
 
 type Say = (text: string) => void;
 
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -14,9 +14,9 @@
   seeds,
   settled,
   some,
-} from './meetings.js';
-import { leaderOf, ownerOf } from './rolls.js';
-import type { Node, World } from './world.js';
+} from './support/meetings.js';
+import { leaderOf, ownerOf } from './support/rolls.js';
+import type { Node, World } from './support/world.js';
 
 type Peers = 'work' | 'refuse' | 'hang' | 'apart-leader' | 'apart-other';
 
--- a/test/odd.test.ts
+++ b/test/odd.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { parseSubmission } from '../src/wire/user.js';
-import { longWorld } from './meetings.js';
-import { spec, World } from './world.js';
+import { longWorld } from './support/meetings.js';
+import { spec, World } from './support/world.js';
 
 const good = {
   nameId: 'req-000412',
--- a/test/outage.test.ts
+++ b/test/outage.test.ts
@@ -10,7 +10,7 @@
 import type { Kv } from '../src/control/books.js';
 import { seeded } from '../src/retry/index.js';
 import { EmbeddedStore, Engine, LevelDisk } from '../src/store/index.js';
-import { pause, withSite } from './site.js';
+import { pause, withSite } from './support/site.js';
 
 const quiet = (): undefined => undefined;
 
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -20,10 +20,10 @@
 import { newestLevel } from '../src/levels/index.js';
 import { planData, readPlan } from '../src/core/storage/index.js';
 import { formats, inspect } from '../src/formats/index.js';
-import { Flood, flooding, floodable } from './flood.js';
-import { leaderOf, levelOf, ownerOf, wish } from './rolls.js';
+import { Flood, flooding, floodable } from './support/flood.js';
+import { leaderOf, levelOf, ownerOf, wish } from './support/rolls.js';
 import type { JobSpec } from '../src/model/job.js';
-import { spec, World } from './world.js';
+import { spec, World } from './support/world.js';
 
 const demand = (tasks: number, users: number, follows = 0, kinds: KindWant[] = []): Demand => ({
   tasks,
--- a/test/policy.test.ts
+++ b/test/policy.test.ts
@@ -9,7 +9,7 @@
 import { moveUrgency, order, score, type Candidate } from '../src/policy/helios.js';
 import { inOrder } from '../src/policy/order.js';
 import { parseSubmission } from '../src/wire/user.js';
-import { box, settingsText, spec } from './world.js';
+import { box, settingsText, spec } from './support/world.js';
 
 const w = { hazard: 10, anchor: 0.5 };
 const at = (over: Partial<Candidate>): Candidate => ({
--- a/test/proof.test.ts
+++ b/test/proof.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { kill, longWorld } from './meetings.js';
-import { leaderOf, ownerOf } from './rolls.js';
-import { spec } from './world.js';
+import { kill, longWorld } from './support/meetings.js';
+import { leaderOf, ownerOf } from './support/rolls.js';
+import { spec } from './support/world.js';
 
 // Guards against the old copy of a report that a new owner hears before anything else of a machine: a gang that was mended
 // has the attempt there again that had ended in an earlier session.
--- a/test/rebuild.test.ts
+++ b/test/rebuild.test.ts
@@ -10,9 +10,9 @@
   Bits,
   machineData,
 } from '../src/core/storage/index.js';
-import { ownerOf } from './rolls.js';
-import { Traffic } from './traffic.js';
-import { spec, World, type Node } from './world.js';
+import { ownerOf } from './support/rolls.js';
+import { Traffic } from './support/traffic.js';
+import { spec, World, type Node } from './support/world.js';
 
 test('ranges: tokens and attempts of an incarnation are above all from before, and exact', () => {
   assert.equal(tokenBase(1), 0);
--- a/test/recovery.test.ts
+++ b/test/recovery.test.ts
@@ -3,7 +3,7 @@
 import { Recovery, type Facts } from '../src/recovery/index.js';
 import { Recent, Vouching } from '../src/vouching/index.js';
 import { successor, wantsHelp } from '../src/policy/sharing.js';
-import { spec, World, type Node } from './world.js';
+import { spec, World, type Node } from './support/world.js';
 
 const upWith = (nodes: number, tasks: number, cpus = 1): World => {
   const w = new World(nodes);
--- a/test/roll.ts
+++ b/test/roll.ts
@@ -11,8 +11,8 @@
 import { fileURLToPath, pathToFileURL } from 'node:url';
 import { defaults } from '../src/config/operators.js';
 import { rollReal } from './rollreal.js';
-import { scenarios, type Cast } from './rolls.js';
-import { spec, thisProgram, World, type Program } from './world.js';
+import { scenarios, type Cast } from './support/rolls.js';
+import { spec, thisProgram, World, type Program } from './support/world.js';
 
 /** The last state of main that knows no levels. */
 export const beforeLevels = '8ed5c62';
--- a/test/room.test.ts
+++ b/test/room.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { JobSpec } from '../src/model/job.js';
-import { longWorld } from './meetings.js';
-import { Traffic } from './traffic.js';
-import { mostWaitMs, Waiting } from './waiting.js';
-import { box, type World } from './world.js';
+import { longWorld } from './support/meetings.js';
+import { Traffic } from './support/traffic.js';
+import { mostWaitMs, Waiting } from './support/waiting.js';
+import { box, type World } from './support/world.js';
 
 /** A world whose fleet is full grown, and jobs that come one after the other. */
 function stage(
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { enoughEvidence, evidence } from '../src/core/failures.js';
 import { encodeFrame, FrameReader } from '../src/peers/frames.js';
-import { box, spec, World } from './world.js';
+import { box, spec, World } from './support/world.js';
 
 const up = (w: World): void =>
   assert.ok(
--- a/test/stored.test.ts
+++ b/test/stored.test.ts
@@ -2,11 +2,11 @@
 import { readFileSync } from 'node:fs';
 import { test } from 'node:test';
 import { chunkData, jobCancelledData, jobData, wholeJobData } from '../src/core/storage/index.js';
-import { empty, found, manyTasks, put, withWorkers, type Key, type Placing } from './foundstate.js';
+import { empty, found, manyTasks, put, withWorkers, type Key, type Placing } from './support/foundstate.js';
 import { newestLevel } from '../src/levels/index.js';
-import { laterLevel, leaderOf, levelOf, ownerOf } from './rolls.js';
-import { Traffic } from './traffic.js';
-import { spec, World } from './world.js';
+import { laterLevel, leaderOf, levelOf, ownerOf } from './support/rolls.js';
+import { Traffic } from './support/traffic.js';
+import { spec, World } from './support/world.js';
 
 /** State as the program before levels left it: made by `npm run roll -- --fixture`. */
 const beforeLevels = JSON.parse(
--- a/test/flood.ts
+++ b/test/support/flood.ts
@@ -1,5 +1,5 @@
-import type { Operators } from '../src/config/operators.js';
-import type { JobSpec } from '../src/model/job.js';
+import type { Operators } from '../../src/config/operators.js';
+import type { JobSpec } from '../../src/model/job.js';
 import { spec, thisProgram, World, type Node, type Program } from './world.js';
 
 interface Stream {
--- a/test/foundstate.ts
+++ b/test/support/foundstate.ts
@@ -1,4 +1,4 @@
-import { Bits, chunkData, jobData } from '../src/core/storage/index.js';
+import { Bits, chunkData, jobData } from '../../src/core/storage/index.js';
 import { spec, World } from './world.js';
 
 export interface Key {
--- a/test/loghistory.ts
+++ b/test/support/loghistory.ts
@@ -1,7 +1,7 @@
 /** What the transactions of a world must say of the task log, whatever happened in it. */
-import { readKey, readLog } from '../src/core/storage/index.js';
-import { pieceName } from '../src/model/job.js';
-import type { Write } from '../src/wire/store.js';
+import { readKey, readLog } from '../../src/core/storage/index.js';
+import { pieceName } from '../../src/model/job.js';
+import type { Write } from '../../src/wire/store.js';
 import type { World } from './world.js';
 
 type StoredPlacement = [index: number, attempt: number, host: string];
--- a/test/site.ts
+++ b/test/support/site.ts
@@ -5,15 +5,15 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { marked, signal } from '../src/agent/processes.js';
-import { Agent, parseAgentSettings } from '../src/agent/index.js';
-import { openControl, parseControlSettings, type OpenControl } from '../src/control/index.js';
-import { HttpClient } from '../src/net/client.js';
-import { freePort } from '../src/net/port.js';
-import { seeded } from '../src/retry/index.js';
-import { plainSubmission } from '../src/wire/user.js';
+import { marked, signal } from '../../src/agent/processes.js';
+import { Agent, parseAgentSettings } from '../../src/agent/index.js';
+import { openControl, parseControlSettings, type OpenControl } from '../../src/control/index.js';
+import { HttpClient } from '../../src/net/client.js';
+import { freePort } from '../../src/net/port.js';
+import { seeded } from '../../src/retry/index.js';
+import { plainSubmission } from '../../src/wire/user.js';
 
-const main = fileURLToPath(new URL('../src/main.js', import.meta.url));
+const main = fileURLToPath(new URL('../../src/main.js', import.meta.url));
 const quiet = (): undefined => undefined;
 export const pause = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
 
--- a/test/traffic.ts
+++ b/test/support/traffic.ts
@@ -1,4 +1,4 @@
-import type { JobSpec } from '../src/model/job.js';
+import type { JobSpec } from '../../src/model/job.js';
 import { spec, type Node, type World } from './world.js';
 
 interface Asked {
--- a/test/waiting.ts
+++ b/test/support/waiting.ts
@@ -1,4 +1,4 @@
-import type { JobSpec } from '../src/model/job.js';
+import type { JobSpec } from '../../src/model/job.js';
 import type { Traffic } from './traffic.js';
 import type { Worker, World } from './world.js';
 
--- a/test/world.ts
+++ b/test/support/world.ts
@@ -2,18 +2,18 @@
  * A small scripted world on a fake clock: state service, cloud and workers as the protocol describes them,
  * written for these tests. Everything happens at set moments, so a test can put a failure just where it hurts.
  */
-import { defaults, type Operators } from '../src/config/operators.js';
-import { parseSettings, type Settings } from '../src/config/settings.js';
-import { Controller } from '../src/core/controller.js';
-import type { Command, CommitOutcome, Effect } from '../src/core/effects.js';
-import { prefix } from '../src/core/storage/index.js';
-import type { Legacy } from '../src/core/memory.js';
-import type { JobSpec } from '../src/model/job.js';
-import type { MachineType } from '../src/model/machine.js';
-import type { Order, Report, TaskReport } from '../src/model/report.js';
-import { seeded } from '../src/retry/index.js';
-import type { RentRequest } from '../src/wire/cloud.js';
-import type { Change, Txn } from '../src/wire/store.js';
+import { defaults, type Operators } from '../../src/config/operators.js';
+import { parseSettings, type Settings } from '../../src/config/settings.js';
+import { Controller } from '../../src/core/controller.js';
+import type { Command, CommitOutcome, Effect } from '../../src/core/effects.js';
+import { prefix } from '../../src/core/storage/index.js';
+import type { Legacy } from '../../src/core/memory.js';
+import type { JobSpec } from '../../src/model/job.js';
+import type { MachineType } from '../../src/model/machine.js';
+import type { Order, Report, TaskReport } from '../../src/model/report.js';
+import { seeded } from '../../src/retry/index.js';
+import type { RentRequest } from '../../src/wire/cloud.js';
+import type { Change, Txn } from '../../src/wire/store.js';
 
 export const settingsText = (member: string, nodes: number): string => `
 member = "${member}"
--- a/test/tasklog.test.ts
+++ b/test/tasklog.test.ts
@@ -31,10 +31,10 @@
 import { newJob } from '../src/core/books/jobs.js';
 import type { Placement } from '../src/core/books/runs.js';
 import { legacyOf } from '../src/core/memory.js';
-import { wrongInHistory } from './loghistory.js';
-import { levelOf, ownerOf, restart } from './rolls.js';
-import { Traffic } from './traffic.js';
-import { spec, World, type Node } from './world.js';
+import { wrongInHistory } from './support/loghistory.js';
+import { levelOf, ownerOf, restart } from './support/rolls.js';
+import { Traffic } from './support/traffic.js';
+import { spec, World, type Node } from './support/world.js';
 
 const size = 8;
 
--- a/test/teamlimits.test.ts
+++ b/test/teamlimits.test.ts
@@ -1,7 +1,7 @@
-import { bounce, longWorld, meeting, pick, some } from './meetings.js';
-import { leaderOf, ownerOf } from './rolls.js';
-import { Traffic } from './traffic.js';
-import type { Node, Worker, World } from './world.js';
+import { bounce, longWorld, meeting, pick, some } from './support/meetings.js';
+import { leaderOf, ownerOf } from './support/rolls.js';
+import { Traffic } from './support/traffic.js';
+import type { Node, Worker, World } from './support/world.js';
 
 /** Both teams have a limit, and more work than that. */
 const limited = (seed: number): World =>
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'node:test';
 import { defaults } from '../src/config/operators.js';
-import { held, scenarios, type Cast } from './rolls.js';
+import { held, scenarios, type Cast } from './support/rolls.js';
 
 /** The earlier program itself: `npm run roll`. */
 const cast: Cast = {
