--- a/scale/cell.ts
+++ b/scale/cell.ts
@@ -3,8 +3,9 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { freePort } from '../src/net/port.js';
-import { Latency, processFigures, sumOf, noWorkers, type CellFigures, type FaultFigures } from './figures.js';
+import { Latency, processFigures, sumOf, type CellFigures, type FaultFigures } from './figures.js';
 import {
+  noWorkers,
   now,
   type FromPlatform,
   type FromUsers,
--- a/scale/figures.ts
+++ b/scale/figures.ts
@@ -1,6 +1,6 @@
 /** What a run measures: latencies as histograms, use of each process over the measured time, and the table of them. */
 import { build, type Histogram } from 'hdr-histogram-js';
-import type { PlatformCounts, WorkerCounts } from './messages.js';
+import { noWorkers, type PlatformCounts, type WorkerCounts } from './messages.js';
 import type { ProcessUse } from './processes.js';
 
 const highestMs = 3_600_000;
@@ -96,18 +96,6 @@
   violations: string[];
 }
 
-export const noWorkers: WorkerCounts = {
-  workers: 0,
-  running: 0,
-  reports: 0,
-  failedReports: 0,
-  orders: 0,
-  expiredLeases: 0,
-  tasksLostWithLeases: 0,
-  renewedSinceMark: 0,
-  slowestRenewalMs: 0,
-};
-
 /** What several processes of workers have counted together. */
 export function sumOf(all: WorkerCounts[]): WorkerCounts {
   const sum = { ...noWorkers };
--- a/scale/messages.ts
+++ b/scale/messages.ts
@@ -123,6 +123,19 @@
   slowestRenewalMs: number;
 }
 
+/** Of a process that has done nothing yet. */
+export const noWorkers: WorkerCounts = {
+  workers: 0,
+  running: 0,
+  reports: 0,
+  failedReports: 0,
+  orders: 0,
+  expiredLeases: 0,
+  tasksLostWithLeases: 0,
+  renewedSinceMark: 0,
+  slowestRenewalMs: 0,
+};
+
 export type FromWorkers =
   | { kind: 'ready' }
   | { kind: 'listening'; endpoints: [host: string, endpoint: string][] }
--- a/scale/workers.ts
+++ b/scale/workers.ts
@@ -6,6 +6,7 @@
 import { parseOrders } from '../src/wire/agentside.js';
 import { lagMeter, listenToParent, tellParent } from './child.js';
 import {
+  noWorkers,
   now,
   type FromWorkers,
   type MachineSpec,
@@ -34,17 +35,7 @@
   private markedAt = 0;
   private readonly lag = lagMeter();
   private readonly context: WorkerContext;
-  private readonly counts: WorkerCounts = {
-    workers: 0,
-    running: 0,
-    reports: 0,
-    failedReports: 0,
-    orders: 0,
-    expiredLeases: 0,
-    tasksLostWithLeases: 0,
-    renewedSinceMark: 0,
-    slowestRenewalMs: 0,
-  };
+  private readonly counts: WorkerCounts = { ...noWorkers };
 
   constructor(private readonly options: WorkersStart) {
     this.context = {
--- a/src/core/books/machines.ts
+++ b/src/core/books/machines.ts
@@ -1,3 +1,4 @@
+/** A machine as it is scheduled, and what is free on it. */
 import type { Operators } from '../../config/operators.js';
 import type { Settings } from '../../config/settings.js';
 import type { Fits, MachineType } from '../../model/machine.js';
--- a/src/core/round/fit.ts
+++ b/src/core/round/fit.ts
@@ -1,3 +1,4 @@
+/** Which machines a job may go to in a round, and how much of each. */
 import { isPremium, urgencyRank, type JobSpec } from '../../model/job.js';
 import type { Fits, MachineType } from '../../model/machine.js';
 import { typeAllowed } from '../../policy/admission.js';
--- a/src/core/round/patience.ts
+++ b/src/core/round/patience.ts
@@ -1,3 +1,4 @@
+/** How long work waits for what is kept for others. */
 import type { Settings } from '../../config/settings.js';
 
 /** For so many worker leases room may be kept for others while work that it fits waits. */
--- a/src/core/round/shard.ts
+++ b/src/core/round/shard.ts
@@ -1,3 +1,4 @@
+/** What a shard offers in a placement round. */
 import type { JobSpec } from '../../model/job.js';
 import { fits, type Fits, type MachineType } from '../../model/machine.js';
 import type { GpuShare } from '../../policy/gpus.js';
--- a/src/core/view.ts
+++ b/src/core/view.ts
@@ -1,3 +1,4 @@
+/** How new the controller's copy of the state is known to be. */
 import type { Clock, Log } from './effects.js';
 import type { Replica } from './replica.js';
 
--- a/src/policy/gpus.ts
+++ b/src/policy/gpus.ts
@@ -1,3 +1,4 @@
+/** Rules for machines with GPUs: who may use their CPUs. */
 import { isPremium, urgencyRank, type JobSpec } from '../model/job.js';
 import type { Fits, MachineType } from '../model/machine.js';
 import { typeAllowed } from './admission.js';
