--- a/src/core/books/books.ts
+++ b/src/core/books/books.ts
@@ -398,6 +398,8 @@
       }
       if (job.done >= job.spec.tasks && job.spec.shape !== 'service' && !job.cancelled)
         this.writer.finish(job);
+      // Guards against a gang that was being taken down when its last task completed: the rest of it would never be placed again.
+      if (job.active.size === 0) this.endBreaking(job);
     } else if (!job.cancelled) {
       // Guards against handing a task out twice in one round: ahead of `fresh` it is found there, and after a
       // takeover `fresh` starts anew.
@@ -425,10 +427,13 @@
       for (const p of job.active.values()) this.stop(p, 0);
       for (const p of [...job.active.values()]) if (p.own && p.sent === null) this.gone(p, 'gang broken');
     }
-    if (job.active.size === 0) {
-      job.breaking = false;
-      job.mending = null;
-    }
+    if (job.active.size === 0) this.endBreaking(job);
+  }
+
+  /** Nothing of a gang's attempt is left: it may be placed again. */
+  private endBreaking(job: JobRun): void {
+    job.breaking = false;
+    job.mending = null;
   }
 
   private checkCancelled(job: JobRun): void {
--- /dev/null
+++ b/test/gangs.test.ts
@@ -0,0 +1,21 @@
+/** What becomes of gangs of which some tasks are done and others are lost. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { spec, World } from './support/world.js';
+
+// Found by seed 4 of "jobs bound to one zone" with the task log: the gang was never placed again.
+test('a gang that is being taken down when its last task completes may be placed again', () => {
+  const w = new World(1);
+  w.endless.add('req-1');
+  w.play(5);
+  w.nodes[0].submit(spec('req-1', { shape: 'gang', tasks: 2, cpus: 4, team: 'blue' }));
+  assert.ok(w.playUntil(() => w.running('req-1').length === 2, 60));
+  const { books } = w.nodes[0].controller.dispatcher;
+  const job = books.jobs.get('req-1')!;
+  const [first, last] = [...job.active.values()];
+  books.gone(first, 'vanished');
+  assert.equal(job.breaking, true);
+  books.gone(last, 'done', 'done');
+  assert.equal(job.active.size, 0);
+  assert.equal(job.breaking, false);
+});
