Read again: what is cleared in the task log fits its record; one way to say what a chunk is to be

Clears of cancelled jobs were added to a record beside what already filled it: in a storm of cancellations at small values it would have been refused as too large, again and again. They share the record's bytes now; what does not fit goes into the next (test: fails where the bound is taken out).

--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -7,7 +7,7 @@
 import type { Matcher } from '../policy/matching.js';
 import { Recovery } from '../recovery/index.js';
 import { retryPolicies, type Random } from '../retry/index.js';
-import { Committer } from './storage/index.js';
+import { Committer, conditionsPerOperation } from './storage/index.js';
 import { UserRequests } from './userrequests.js';
 import { Dispatcher } from './dispatcher.js';
 import type { Clock, Command, Effect, Log } from './effects.js';
@@ -114,7 +114,7 @@
       run,
       {
         ops: s.txn_ops,
-        conditions: s.txn_ops * 4,
+        conditions: s.txn_ops * conditionsPerOperation,
         // Room for the frame around the values, and for the reading of non-ASCII text.
         bytes: 48 * 1024,
         writesPerS: s.write_rps,
--- a/src/core/storage/committer.ts
+++ b/src/core/storage/committer.ts
@@ -30,6 +30,9 @@
   refused?(): boolean;
 }
 
+/** Conditions that a transaction may have for each operation (PROTOCOL). */
+export const conditionsPerOperation = 4;
+
 interface Built {
   intent: Intent;
   txn: Txn;
--- a/src/core/storage/index.ts
+++ b/src/core/storage/index.ts
@@ -4,6 +4,6 @@
  */
 export * from './keys.js';
 export * from './records.js';
-export { Committer, Rank, type CommitLimits, type Intent } from './committer.js';
+export { Committer, conditionsPerOperation, Rank, type CommitLimits, type Intent } from './committer.js';
 export { TaskWriter, type TaskOwner } from './taskwriter.js';
 export * from './tasklog/index.js';
--- a/src/core/storage/tasklog/truncator.ts
+++ b/src/core/storage/tasklog/truncator.ts
@@ -8,8 +8,9 @@
 import { Truncation, type Checkpoints } from './truncation.js';
 
 const truncateEveryMs = 1000;
-/** So many records are dropped, and so many looked at for checkpoints, at a time. */
-const droppedAtOnce = 12;
+/** Of the operations of a transaction, so many drop records at a time. */
+const dropShare = 0.5;
+/** So many records are looked at for checkpoints at a time. */
 const checkpointedAtOnce = 4;
 
 export interface OwnedJobs {
@@ -28,10 +29,10 @@
     private readonly committer: Committer,
     private readonly clock: Clock,
     private readonly owner: OwnedJobs,
-    mostAgeMs: number,
+    private readonly limits: { mostAgeMs: number; operations: number },
     private readonly checkpoint: (job: JobRun, chunk: Chunk) => void,
   ) {
-    this.truncation = new Truncation(mostAgeMs, checkpointedAtOnce);
+    this.truncation = new Truncation(limits.mostAgeMs, checkpointedAtOnce);
     this.known = {
       standing: (job) => this.standing(job),
       checkpointOf: (job, chunk) => replica.checkpointOf(job, chunk),
@@ -48,10 +49,14 @@
       const records = taskLog.records.filter((record) => record.shard === shard);
       const plan = this.truncation.plan(records, this.known, now);
       for (const item of plan.checkpoint) this.checkpointItem(item);
-      if (plan.drop.length > 0) this.drop(shard, plan.drop.slice(0, droppedAtOnce));
+      if (plan.drop.length > 0) this.drop(shard, plan.drop.slice(0, this.droppedAtOnce));
     }
   }
 
+  private get droppedAtOnce(): number {
+    return Math.max(1, Math.floor(this.limits.operations * dropShare));
+  }
+
   /** A cancelled job of which nothing is on any machine any more is over. */
   private standing(id: string): 'unknown' | 'followed' | 'over' {
     const isCancelled = this.replica.jobs.get(id)?.state === 'cancelled';
--- a/src/core/storage/tasklog/writer.ts
+++ b/src/core/storage/tasklog/writer.ts
@@ -8,8 +8,8 @@
 import type { Chunk, JobRun } from '../../books/runs.js';
 import { Rank, type Committer } from '../committer.js';
 import { jobKey, logKey, shardKey } from '../keys.js';
-import type { Placed } from '../records.js';
 import type { Replica } from '../../replica.js';
+import { stateOf } from '../chunkstate.js';
 import { difference, emptyChunk, logData, sizeOf, type LogEntry } from './entry.js';
 
 /** A record's value takes at most this share of what a value may hold, and this many bytes. */
@@ -29,7 +29,6 @@
   owned(shard: number): boolean;
   /** Whether a job may be written: it is this process's, and nothing else is being done about it. */
   writable(job: JobRun): boolean;
-  failedOn(job: JobRun, chunk: Chunk): string[];
   /** A chunk's state up to this version is durable. */
   durable(job: JobRun, chunk: Chunk, version: number): void;
   /** A chunk's write was refused, because of its job or of the grant: to be looked at when the view has reached `epoch`. */
@@ -125,7 +124,8 @@
     // Guards against writing under the grant of whoever has the shard now.
     if (!grant || !this.tasks.owned(this.shard)) return this.withdraw();
     const when: Condition[] = [{ key: shardKey(this.shard), stamp: grant.stamp }];
-    const entries = [...this.buildChanges(when), ...this.buildClears()];
+    const { entries, bytes } = this.buildChanges(when);
+    entries.push(...this.buildClears(this.mostBytes - bytes));
     if (entries.length === 0) return this.withdraw();
     if (grant.stamp !== this.grant) [this.grant, this.count] = [grant.stamp, 0];
     const key = logKey(this.shard, grant.stamp, this.count);
@@ -139,7 +139,7 @@
   }
 
   /** As much as one record holds, urgent work first. */
-  private buildChanges(when: Condition[]): LogEntry[] {
+  private buildChanges(when: Condition[]): { entries: LogEntry[]; bytes: number } {
     const waiting = [...this.changed.values()].sort((a, b) => urgencyOf(b) - urgencyOf(a));
     const conditions = new Set<string>();
     let bytes = 0;
@@ -157,7 +157,7 @@
       }
       this.built.push({ ...one, entry });
     }
-    return this.built.map((b) => b.entry);
+    return { entries: this.built.map((b) => b.entry), bytes };
   }
 
   /** null: there is nothing to be written of it (any more), or not now. */
@@ -174,10 +174,7 @@
       return null;
     }
     const before = this.replica.chunks.get(job.id)?.get(chunk.number) ?? emptyChunk;
-    const placed: Placed[] = [];
-    for (const p of job.active.values()) if (p.chunk === chunk) placed.push(p);
-    const failed = this.tasks.failedOn(job, chunk);
-    const after = { last: chunk.last, done: chunk.done, placed, failed, size: chunk.size };
+    const after = { ...stateOf(job, chunk), size: chunk.size };
     // A later change must get a number above this one.
     const to = (chunk.version = Math.max(chunk.version, before.revision + 1));
     return {
@@ -189,22 +186,35 @@
     };
   }
 
-  private buildClears(): LogEntry[] {
+  /** As many as the rest of a record holds; what does not fit is cleared by the next. */
+  private buildClears(mostBytes: number): LogEntry[] {
     const entries: LogEntry[] = [];
+    let bytes = 0;
     for (const id of this.cleared.keys()) {
-      this.builtClears.push(id);
-      for (const [number, state] of this.replica.chunks.get(id) ?? []) {
-        const { revision, last } = state;
-        const freed = state.placed.map((p) => p.index);
-        const nothing = { placed: [], done: [], failed: null };
-        entries.push({ job: id, chunk: number, from: revision, to: revision + 1, last, freed, ...nothing });
-      }
-      if (entries.length >= this.mostJobs) break;
+      const ofJob = this.clearsOf(id);
+      bytes += ofJob.reduce((sum, entry) => sum + sizeOf(entry), 0);
+      if (bytes > mostBytes && (entries.length > 0 || this.built.length > 0)) break;
+      if (ofJob.length === 0) this.cleared.delete(id);
+      else this.builtClears.push(id);
+      entries.push(...ofJob);
     }
-    if (entries.length === 0) for (const id of this.builtClears.splice(0)) this.cleared.delete(id);
     return entries;
   }
 
+  private clearsOf(id: string): LogEntry[] {
+    return [...(this.replica.chunks.get(id) ?? [])].map(([chunk, { revision, last, placed }]) => ({
+      job: id,
+      chunk,
+      from: revision,
+      to: revision + 1,
+      last,
+      placed: [],
+      done: [],
+      freed: placed.map((p) => p.index),
+      failed: null,
+    }));
+  }
+
   private written(): void {
     this.asked = false;
     this.count++;
--- a/src/core/storage/taskwriter.ts
+++ b/src/core/storage/taskwriter.ts
@@ -2,26 +2,16 @@
 import type { Settings } from '../../config/settings.js';
 import { urgencyRank } from '../../model/job.js';
 import type { Txn, Write } from '../../wire/store.js';
-import { Rank, type Committer } from './committer.js';
+import { conditionsPerOperation, Rank, type Committer } from './committer.js';
 import type { Clock, Log } from '../effects.js';
 import { chunkKey, jobKey, shardKey } from './keys.js';
-import {
-  chunkData,
-  jobCancelledData,
-  jobData,
-  wholeCancelledData,
-  wholeJobData,
-  type Placed,
-} from './records.js';
+import { chunkData, jobCancelledData, jobData, wholeCancelledData, wholeJobData } from './records.js';
 import type { Replica } from '../replica.js';
+import { stateOf } from './chunkstate.js';
 import { JobFinisher } from './finisher.js';
 import { LogTruncator, LogWriter } from './tasklog/index.js';
-import { mostFailedKept } from '../failures.js';
 import type { Chunk, JobRun } from '../books/runs.js';
 
-/** Conditions that a transaction may have for each operation. */
-const conditionsPerOperation = 4;
-
 /** Ends of tasks gather for this share of a report interval before they are written. */
 const endPatience = 0.5;
 
@@ -29,10 +19,6 @@
 const placementRank = ({ spec }: JobRun): Rank =>
   urgencyRank[spec.urgency] > urgencyRank.normal ? Rank.urgent : Rank.task;
 
-/** What the leader and the next owner must know of a job's failures; kept with its first tasks. */
-const failedOn = (job: JobRun, chunk: Chunk): string[] =>
-  chunk.number === 0 && job.successes === 0 ? [...job.errors].slice(0, mostFailedKept) : [];
-
 /** The process's jobs and shards, as the write path needs them. */
 export interface TaskOwner {
   jobs: Map<string, JobRun>;
@@ -68,7 +54,8 @@
     /** Whether the task log is used where the level in force allows it, and how long a record stays in it, ms. */
     private readonly taskLog: { wanted: boolean; mostAgeMs: number },
   ) {
-    this.truncator = new LogTruncator(replica, committer, clock, owner, taskLog.mostAgeMs, (job, chunk) =>
+    const limits = { mostAgeMs: taskLog.mostAgeMs, operations: settings.state.txn_ops };
+    this.truncator = new LogTruncator(replica, committer, clock, owner, limits, (job, chunk) =>
       this.checkpoint(job, chunk),
     );
     this.finisher = new JobFinisher(settings.state.txn_ops, replica, committer, log, owner);
@@ -131,7 +118,6 @@
     return new LogWriter(shard, limits, this.replica, this.committer, {
       owned: (shard) => this.owner.owned.has(shard),
       writable: (job) => this.isWritable(job),
-      failedOn,
       durable: (job, chunk, version) => this.noteDurable(job, chunk, version),
       blocked: (job, chunk, epoch) => this.block(job, chunk, epoch),
     });
@@ -190,11 +176,8 @@
   /** Where the state of a job's tasks goes: into the job's own record if it is small and the level in force lets it. */
   private tasksTxn(job: JobRun, chunk: Chunk, grant: number): Txn {
     const { replica } = this;
-    const placed: Placed[] = [];
-    for (const p of job.active.values()) if (p.chunk === chunk) placed.push(p);
     const was = replica.whole.has(job.id);
-    const state = { last: chunk.last, done: chunk.done, placed, failed: failedOn(job, chunk) };
-    const tasks = chunkData(state, was || !this.keepsRevisions ? 0 : chunk.version);
+    const tasks = chunkData(stateOf(job, chunk), was || !this.keepsRevisions ? 0 : chunk.version);
     const key = chunkKey(job.id, chunk.number);
     const jobAt = { key: jobKey(job.id), stamp: job.stamp };
     const when = [{ key: shardKey(job.shard), stamp: grant }, jobAt];
--- a/test/tasklog.test.ts
+++ b/test/tasklog.test.ts
@@ -261,6 +261,39 @@
   }
 });
 
+test('a record holds no more than a value may: cancelled jobs that do not fit are cleared by the next', () => {
+  const quiet = (): void => undefined;
+  const listener = { jobChanged: quiet, machineChanged: quiet, shardChanged: quiet, decisive: quiet };
+  const more = { sealed: quiet, levelChanged: quiet, incarnationChanged: quiet };
+  const replica = new Replica({ ...listener, ...more }, new Levels(abilityOf('test')));
+  replica.apply({ key: 'dp/shard/0', data: { owner: 'n0', run: 'r' }, stamp: 5 });
+  const intents: Intent[] = [];
+  const committer = { isShort: false, add: (intent: Intent) => intents.push(intent) } as unknown as Committer;
+  const valueKb = 1;
+  const writer = new LogWriter(0, { valueKb, conditions: 96, reportS: 2 }, replica, committer, {
+    owned: () => true,
+    writable: () => true,
+    durable: quiet,
+    blocked: quiet,
+  });
+  const jobs = Array.from({ length: 60 }, (_, i) => `req-${i + 1}`);
+  for (const id of jobs) {
+    replica.apply({ key: `dp/j/${id}`, data: jobData(spec(id, { tasks: 2 }), 1), stamp: 6 });
+    const p = [[0, 1, 'n-1']];
+    replica.apply({ key: `dp/t/${id}/0`, data: { n: 1, d: '', p, r: 1 }, stamp: 7 });
+    writer.clear(id, 0);
+  }
+  const cleared: string[] = [];
+  for (let now = 10_000; cleared.length < jobs.length && now < 20_000; now += 1000) {
+    writer.tick(now);
+    const { data } = intents.at(-1)!.build()!.apply[0];
+    assert.ok(JSON.stringify(data).length <= valueKb * 1024);
+    cleared.push(...readLog(data).map((e) => e.job));
+    intents.at(-1)!.ok(8);
+  }
+  assert.deepEqual(cleared, jobs);
+});
+
 test('a refused write is built again without the job that was cancelled, before the view has caught up', () => {
   const quiet = (): void => undefined;
   const listener = { jobChanged: quiet, machineChanged: quiet, shardChanged: quiet, decisive: quiet };
@@ -274,7 +307,6 @@
   const writer = new LogWriter(0, { valueKb: 32, conditions: 96, reportS: 2 }, replica, committer, {
     owned: () => owned,
     writable: () => true,
-    failedOn: () => [],
     durable: quiet,
     blocked: (job) => blocked.push(job.id),
   });
