Review: an agent runs a task that it has forgotten, and nobody can stop it

Cause: an agent that could not fetch a job's description goes on trying after its lease has ended and it has forgotten the task.

--- a/review/lib/agents.mjs
+++ b/review/lib/agents.mjs
@@ -22,13 +22,15 @@
   record(text) { appendFileSync(this.recordFile, `${this.elapsed.toFixed(3).padStart(8)}  ${text}\n`); }
 
   async prepare() {
-    const zone = 'arima';
     this.address = `127.0.0.1:${await freePort()}`;
     writeFileSync(join(this.dir, 'control.scm'),
-      `(control (listen "${this.address}") (directory "${join(this.dir, 'control')}") (zones ${zone}) (report-s ${this.reportS}) (lease-s ${this.leaseS}) (team results-desk))\n`);
-    for (const name of this.agents)
-      writeFileSync(join(this.dir, `${name}.scm`),
-        `(agent (name "${name}") (control "${this.address}") (directory "${join(this.dir, name)}") (zone ${zone}) (cpus ${this.cpus}) (mem-gb 4))\n`);
+      `(control (listen "${this.address}") (directory "${join(this.dir, 'control')}") (zones arima) (report-s ${this.reportS}) (lease-s ${this.leaseS}) (team results-desk))\n`);
+    for (const name of this.agents) this.writeAgent(name, this.address);
+  }
+  /** `control`: where the agent finds the control service. */
+  writeAgent(name, control) {
+    writeFileSync(join(this.dir, `${name}.scm`),
+      `(agent (name "${name}") (control "${control}") (directory "${join(this.dir, name)}") (zone arima) (cpus ${this.cpus}) (mem-gb 4))\n`);
   }
   start(name, args) {
     const log = openSync(join(this.dir, `${name}.log`), 'a');
