--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,46 +1,137 @@
-// Case 1: an array of many small tasks. See claim.txt.
+// Case 1: a control service that is away for longer than the lease of its agents. See claim.txt.
+import { spawn } from 'node:child_process';
+import { appendFileSync, existsSync, mkdtempSync, openSync, readdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { Cell, job, now, runCase, sleep, striders, stridersMembers, stridersTypes, trouble } from '../lib/case.mjs';
-
-const cell = new Cell(fileURLToPath(new URL('.', import.meta.url)), striders(), {
-  types: stridersTypes(),
-  cloud: { capacity: (flavour) => (flavour === 'results-server' ? 1 : 3), bootS: () => 2 },
-});
-await cell.prepare(stridersMembers);
-const runS = 30;
-cell.world.runS = () => runS;
-/** The user's single task runs 30 s and fetches its image for 1 s; this is more than three times that. */
-const limitS = 100;
-
-await runCase(cell, async () => {
-  for (const c of cell.controllers) c.start();
-  if (!(await cell.allHealthy())) throw new Error('the controllers did not come up');
-  await sleep(2000);
-  const where = { flavours: ['results-server'], yard: 'arima', expectS: runS };
-  // Both arrays take 30 of the machine's 32 CPUs and 75 of its 128 GB.
-  const array = trouble
-    ? job('req-000001', { ...where, owner: 'timing-crew', jobclass: 'splits-pings', pieces: 1500, cpus: 0.02, memGb: 0.05 })
-    : job('req-000001', { ...where, owner: 'timing-crew', jobclass: 'splits-pings', pieces: 150, cpus: 0.2, memGb: 0.5 });
-  const single = job('req-000002', { ...where, owner: 'results-desk', urgency: 'urgent' });
-  for (const spec of [single, array]) {
-    const r = await cell.submit(spec);
-    if (r?.status !== 200 && r?.status !== 201) throw new Error(`${spec.nameId} was not accepted`);
+import { call, freePort, now, root, sleep, trouble } from '../lib/case.mjs';
+
+const reportS = 2.5;
+const leaseS = 18;
+const taskS = 35;
+/** How long the control service is away: longer than `lease-s`. */
+const awayS = 26;
+const tasks = 4;
+const limitS = 112;
+
+const folder = fileURLToPath(new URL('.', import.meta.url));
+const recordFile = join(folder, 'record.txt');
+writeFileSync(recordFile, '');
+const dir = mkdtempSync(join(tmpdir(), 'review-'));
+const startedAt = now();
+const elapsed = () => (now() - startedAt) / 1000;
+const record = (text) => appendFileSync(recordFile, `${elapsed().toFixed(3).padStart(8)}  ${text}\n`);
+
+const port = await freePort();
+const address = `127.0.0.1:${port}`;
+const ranFile = join(dir, 'ran');
+writeFileSync(ranFile, '');
+const zone = 'arima';
+// As deploy/control.scm and deploy/agent.scm, with the intervals and the lease of the deployment striders-results-tt.
+writeFileSync(join(dir, 'control.scm'),
+  `(control (listen "${address}") (directory "${join(dir, 'control')}") (zones ${zone}) (report-s ${reportS}) (lease-s ${leaseS}) (team results-desk))\n`);
+const agents = ['desk-1', 'desk-2'];
+for (const name of agents)
+  writeFileSync(join(dir, `${name}.scm`),
+    `(agent (name "${name}") (control "${address}") (directory "${join(dir, name)}") (zone ${zone}) (cpus 2) (mem-gb 4))\n`);
+
+const running = new Map();
+/** Starts one of the project's programs: `dapplepick control FILE` or `dapplepick agent run FILE`. */
+function start(name, args) {
+  const log = openSync(join(dir, `${name}.log`), 'a');
+  const child = spawn(process.execPath, ['target/main.js', ...args], { cwd: root, stdio: ['ignore', log, log] });
+  running.set(name, child);
+  child.once('exit', (code, signal) => record(`${name}: process ended, code ${code}, signal ${signal}`));
+  record(`${name}: process started`);
+}
+const startControl = () => start('control', ['control', join(dir, 'control.scm')]);
+
+/** Ends the control service, the agents, and the commands of tasks that are left. */
+function end(code) {
+  for (const child of running.values()) child.kill('SIGKILL');
+  for (const name of agents) {
+    const taskDir = join(dir, name, 'tasks');
+    for (const task of existsSync(taskDir) ? readdirSync(taskDir) : []) {
+      const pidFile = join(taskDir, task, 'pid');
+      const group = existsSync(pidFile) ? Number(readFileSync(pidFile, 'latin1')) : 0;
+      if (group > 1) try { process.kill(-group, 'SIGKILL'); } catch { /* it has ended */ }
+    }
   }
-  const acceptedAt = now();
-  const report = setInterval(() => {
-    for (const w of cell.cloud.workers)
-      cell.record(`worker ${w.host}: ${w.pieces.size} tasks, session ${w.tenure}, ${JSON.stringify(w.stats)}, last 400: ${JSON.stringify(w.lastRefusal ?? null)}`);
-  }, 5000);
-  const [one, many] = await Promise.all([cell.follow('req-000002', limitS), cell.follow('req-000001', limitS)]);
-  clearInterval(report);
-  const seconds = ((now() - acceptedAt) / 1000).toFixed(0);
-  const expired = cell.cloud.workers.reduce((n, w) => n + w.stats.expired, 0);
-  const largest = Math.max(0, ...cell.cloud.workers.map((w) => w.stats.largestReport));
-  const starts = cell.world.starts.filter((s) => s.piece === 'req-000002/0').length;
-  cell.record(`largest report ${largest} bytes, leases expired ${expired}, starts of req-000002/0: ${starts}`);
-  if (one?.status === 'done' && many?.status === 'done') return null;
-  // The machine, its worker, the network, the state service and the cloud were up all the time.
-  if (largest <= 64 * 1024 || expired < 3) throw new Error('not done, but for another reason');
-  return `accepted jobs do not run: after ${seconds} s req-000002 is ${JSON.stringify(one)}, req-000001 is ${JSON.stringify(many)}; ` +
-    `req-000002/0 was started ${starts} times; reports of up to ${largest} bytes; ${expired} expired leases`;
-});
+  // The agents' watchdogs end by themselves within a second when the directory is gone.
+  if (!process.env.KEEP) rmSync(dir, { recursive: true, force: true });
+  setTimeout(() => process.exit(code), 2500);
+}
+for (const s of ['SIGINT', 'SIGTERM']) process.once(s, () => end(2));
+
+async function ask(method, path, body) {
+  const r = await call(address, method, path, body, method === 'GET' ? 2000 : 5000);
+  record(`user: ${method} ${path}: ${r ? `${r.status} ${JSON.stringify(r.body)}` : 'no answer'}`);
+  return r;
+}
+const ran = () => readFileSync(ranFile, 'utf8').split('\n').filter((line) => line !== '');
+const ended = () => new Set(ran().filter((line) => line.startsWith('end ')).map((line) => line.split(' ')[1]));
+
+async function main() {
+  startControl();
+  const up = async (path, test) => {
+    for (let i = 0; i < 100; i++) {
+      const r = await call(address, 'GET', path, null, 1000);
+      if (r?.status === 200 && test(r.body)) return;
+      await sleep(200);
+    }
+    throw new Error(`not up: ${path}`);
+  };
+  await up('/healthz', () => true);
+  for (const name of agents) start(name, ['agent', 'run', join(dir, `${name}.scm`)]);
+  await up('/machines', (body) => body.machines.length === agents.length);
+  const id = 'req-000001';
+  const script = `echo "begin $DAPPLEPICK_INDEX attempt $DAPPLEPICK_ATTEMPT" >> ${ranFile}; sleep ${taskS}; echo "end $DAPPLEPICK_INDEX attempt $DAPPLEPICK_ATTEMPT" >> ${ranFile}`;
+  const spec = {
+    nameId: id, jobclass: 'split-calc', owner: 'results-desk', shape: 'sweep', urgency: 'normal', pieces: tasks,
+    cpus: 1.0, cards: 0.0, memGb: 0.5, bundle: 'none', pullGb: 0.0, flavours: null, yard: null, oneZone: false, apart: false,
+    loaners: false, expectS: taskS, snapshotS: 0.0, flushS: 0.0, dueS: null, command: ['sh', '-c', script],
+  };
+  let accepted = false;
+  for (let i = 0; i < 20 && !accepted; i++) {
+    const r = await ask('POST', '/work', spec);
+    accepted = r?.status === 201 || r?.status === 200;
+    if (!accepted) await sleep(1000);
+  }
+  if (!accepted) throw new Error('the job was not accepted');
+  for (let i = 0; i < 100 && ran().length < tasks; i++) await sleep(200);
+  if (ran().length !== tasks) throw new Error('the tasks did not start');
+  await sleep(2 * reportS * 1000);
+  await ask('GET', `/work/${id}`, null);
+  if (trouble) {
+    record(`control service killed; away for ${awayS} s; the agents' lease is ${leaseS} s`);
+    running.get('control').kill('SIGKILL');
+    await sleep(awayS * 1000);
+    for (const line of ran()) record(`ran so far: ${line}`);
+    startControl();
+  }
+  for (; elapsed() < limitS;) {
+    const r = await ask('GET', `/work/${id}`, null);
+    if (r?.status === 200 && r.body.status === 'done') {
+      // The rule: done only when every task is done, and a task is done when its command has ended by itself.
+      const missing = [...Array(tasks).keys()].filter((i) => !ended().has(String(i)));
+      for (const line of ran()) record(`ran: ${line}`);
+      await ask('GET', `/work/${id}/tasks`, null);
+      return missing.length === 0 ? null : `${id} is called done, but the commands of ${missing.length} of its ${tasks} tasks have not ended`;
+    }
+    await sleep(2000);
+  }
+  for (const line of ran()) record(`ran: ${line}`);
+  record('the job was not called done in the time of the case');
+  return null;
+}
+
+try {
+  const broken = await main();
+  record(broken ? `VERDICT broken: not_done: ${broken}` : 'VERDICT held');
+  process.stdout.write(`${broken ? `broken: not_done: ${broken}` : 'held'}\n`);
+  end(broken ? 1 : 0);
+} catch (e) {
+  record(`could not run: ${e.stack}`);
+  process.stdout.write(`could not run: ${e.message}\n`);
+  end(2);
+}
--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -14,7 +14,7 @@
 
 const taken = new Set();
 /** A free port below those that systems give to outgoing connections, so that none of these takes it before its process listens. */
-async function freePort() {
+export async function freePort() {
   for (;;) {
     const port = 12_000 + Math.floor(Math.random() * 20_000);
     if (taken.has(port)) continue;
