--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -83,7 +83,7 @@
   await cell.joined(2);
   await sleep(Math.max(0, cutAt + cutS * 1000 - now()));
   if (trouble) link.end();
-  for (const limit = cutAt + 60_000; now() < limit && overlap() < 5; await sleep(500));
+  for (const limit = cutAt + 46_000; now() < limit && overlap() < 5; await sleep(500));
   const overlapS = overlap();
   await cell.ask('GET', `/work/${id}`, null);
   for (const a of attempts()) cell.record(`ran: attempt ${a.attempt} on ${a.host} from ${a.first} to ${a.last}`);
