--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -51,6 +51,7 @@
       table('[endpoints]', { cloud: cell.cloud.address, state: `127.0.0.1:${this.statePort}` }),
       table('[deployment]', { nodes: cell.controllers.length, zones: d.zones, time_bound_ms: 100.0 }),
       ...teams.map((t) => table('[[deployment.teams]]', t)),
+      ...(d.objectives ?? []).map((o) => table('[[deployment.objectives]]', o)),
       table('[deployment.workers]', d.workers), table('[deployment.state]', d.state),
       table('[deployment.cloud]', d.cloud), table('[deployment.quota]', d.quota),
     ].join('\n'));
@@ -222,6 +223,36 @@
   ];
 };
 
+/** The deployment of kit/added (striders-multisport). */
+export const multisport = () => ({
+  zones: ['scarborough', 'point-fortin', 'sangre-grande'],
+  teams: [
+    { name: 'transition-crew', cpus: 1200.0, cpus_max: 3500.0 },
+    { name: 'velodrome-desk', cpus: 800.0, cpus_max: 2000.0 },
+    { name: 'tobago-office', cpus: 600.0, cpus_max: 2500.0 },
+    { name: 'sponsor-relations', cpus: 1200.0, cpus_max: 1800.0 },
+    { name: 'course-marshals', cpus: 900.0, cpus_max: 1800.0 },
+  ],
+  objectives: [
+    { kind: 'wait', class: 'transition-mat-match', within_s: 3.0, share: 0.82 },
+    { kind: 'wait', class: 'transition-mat-match', within_s: 15.0, share: 0.97 },
+    { kind: 'finished', class: 'transition-mat-match', within_s: 60.0, share: 0.9 },
+    { kind: 'finished', class: 'lap-count', within_s: 120.0, share: 0.65 },
+    { kind: 'finished', class: 'lap-count', within_s: 250.0, share: 0.9 },
+    { kind: 'deadline', class: 'series-points-rebuild', share: 0.96, times: 1.0 },
+    { kind: 'guarantee', within_s: 15.0, share: 0.93 },
+  ],
+  workers: { report_s: 5.0, lease_s: 27.0, gang_wait_s: 50.0, gang_peer_s: 6.0, cancel_s: 52.0 },
+  state: { rps: 150.0, write_rps: 60.0, value_kb: 32.0, txn_ops: 32 },
+  cloud: { rps: 6.0, list_lag_s: 6.0 },
+  quota: { cores: 0.085, mem_mb: 178.0, fd_limit: 1200 },
+});
+export const multisportMembers = [['picker-0', 'scarborough'], ['picker-1', 'point-fortin'], ['picker-2', 'sangre-grande']];
+export const multisportTypes = () => [{
+  name: 'lap-cruncher', cpus: 16.0, cards: 0.0, memGb: 32.0, localGb: 35.0, fetchGbPerS: 0.8, price: 0.62, marketPrice: 0.2, bootS: 50.0,
+  yards: ['scarborough', 'point-fortin', 'sangre-grande'],
+}];
+
 /** Runs a case. `body` returns null if the rule held, or says how it was broken; it throws if the case could not run. */
 export async function runCase(cell, body) {
   const limit = setTimeout(() => { cell.record('time is over'); finish(2); }, 118_000);
