Control service: an attempt without a readable result is not done

Cause: recordResults left the exit reason of a heartbeat as it was where no result could be read. One result of an unknown form dropped all results of the heartbeat, and the core then took 'done' as it stood, with nothing that says how the command ended. Change: a result that cannot be read counts as missing, alone; an attempt that is called done without one is retried. Whether a result is a success is decided in one place, for agents and control service. Found by reading; no user has reported it.

--- a/src/control/heartbeat-interceptor.ts
+++ b/src/control/heartbeat-interceptor.ts
@@ -1,7 +1,7 @@
 /** Processes agents' heartbeats before the core does: checks membership, records attempt results, coordinates gangs. */
 import type { Command } from '../core/effects.js';
-import type { Heartbeat } from '../model/heartbeat.js';
-import type { JobSpec } from '../model/job.js';
+import type { ExitReason, Heartbeat, TaskStatus } from '../model/heartbeat.js';
+import { taskKey, type JobSpec } from '../model/job.js';
 import { parseResults, type TaskResult } from '../wire/agent.js';
 import type { Condition } from '../wire/store.js';
 import type { AgentPool } from './agent-pool.js';
@@ -86,27 +86,42 @@
     return status === 200 && gangs && gangs.length > 0 ? { ...body, gangs } : body;
   }
 
-  /** Stores attempt results, and sets each ended task's exit reason so that the core completes or retries it. */
+  /**
+   * Stores attempt results, and sets each ended task's exit reason so that the core completes or retries it. Only a result
+   * proves that a task is done: without one, the task is retried.
+   */
   private async recordResults(raw: unknown, heartbeat: Heartbeat): Promise<void> {
     const reportedResults = new Map<string, TaskResult>();
     for (const { piece, attempt, result } of parseResults(raw))
       reportedResults.set(`${piece} ${attempt}`, result);
-    if (reportedResults.size === 0) return;
-    const preconditions = await this.backend.loadResultsForGrant();
+    const exitedTasks = heartbeat.tasks.filter((task) => task.phase === 'exited');
+    const preconditions = reportedResults.size > 0 ? await this.backend.loadResultsForGrant() : [];
     await Promise.all(
-      heartbeat.tasks.map(async (task) => {
-        const { index, attempt } = task;
-        const result = reportedResults.get(`${task.job}/${index} ${attempt}`);
-        if (task.phase !== 'exited' || !result) return;
-        const spec = this.backend.jobSpec(task.job);
-        const job = { id: task.job, retries: spec?.command?.retries ?? 0, gang: spec?.shape === 'gang' };
-        const end = { index, attempt, host: heartbeat.host, result };
-        const disposition = await this.backend.results.record(job, end, preconditions);
-        task.exitReason = disposition === 'done' ? 'done' : 'stopped';
+      exitedTasks.map(async (task) => {
+        const result = reportedResults.get(`${taskKey(task.job, task.index)} ${task.attempt}`);
+        if (result) task.exitReason = await this.recordResult(task, heartbeat.host, result, preconditions);
+        else if (task.exitReason === 'done') task.exitReason = 'stopped';
       }),
     );
   }
 
+  /** Stores the result of an attempt; returns the exit reason by which the core completes or retries the task. */
+  private async recordResult(
+    { job: id, index, attempt }: TaskStatus,
+    host: string,
+    result: TaskResult,
+    preconditions: readonly Condition[],
+  ): Promise<ExitReason> {
+    const spec = this.backend.jobSpec(id);
+    const job = { id, retries: spec?.command?.retries ?? 0, gang: spec?.shape === 'gang' };
+    const disposition = await this.backend.results.record(
+      job,
+      { index, attempt, host, result },
+      preconditions,
+    );
+    return disposition === 'done' ? 'done' : 'stopped';
+  }
+
   private isGang(job: string): boolean {
     return this.backend.jobSpec(job)?.shape === 'gang';
   }
--- a/src/control/job-views.ts
+++ b/src/control/job-views.ts
@@ -1,8 +1,9 @@
 /** Builds the API's views of jobs and tasks, which the command line displays. */
 import type { Replica } from '../core/replica.js';
 import type { JobRecord } from '../core/storage/index.js';
+import { succeeded } from '../wire/agent.js';
 import { jobStatus } from '../wire/user.js';
-import { succeeded, type ResultStore, type StoredResult } from './result-store.js';
+import type { ResultStore, StoredResult } from './result-store.js';
 
 /** Larger than the number of machines in a fleet, so that all jobs running on it fit into one list. */
 const maxListedJobs = 10_000;
--- a/src/control/result-store.ts
+++ b/src/control/result-store.ts
@@ -1,6 +1,6 @@
 /** Stores task results: how the last attempt of each task ended, and whether another attempt follows. */
 import { taskKey } from '../model/job.js';
-import type { TaskResult } from '../wire/agent.js';
+import { succeeded, type TaskResult } from '../wire/agent.js';
 import type { Condition } from '../wire/store.js';
 import { listAll, commitWithRetries, type ControlStore } from './control-store.js';
 
@@ -40,9 +40,6 @@
 const endedByCommand = (result: TaskResult): boolean =>
   result.reason !== 'stopped' && result.reason !== 'lost' && result.reason !== 'gang';
 
-/** Whether the command exited with code 0. */
-export const succeeded = (result: TaskResult): boolean => result.reason === 'exited' && result.exit === 0;
-
 /** The newest result of every task, in memory and in the store. Results are never deleted, like the final states of jobs. */
 export class ResultStore {
   private results = new Map<string, StoredResult>();
--- a/src/wire/agent.ts
+++ b/src/wire/agent.ts
@@ -29,6 +29,9 @@
 /** Why a task on an agent ended. */
 export type ResultReason = (typeof resultReasons)[number];
 
+/** Whether the command exited by itself, with code 0. A command that was being stopped has not succeeded, whatever its code. */
+export const succeeded = (result: TaskResult): boolean => result.reason === 'exited' && result.exit === 0;
+
 /** A task as an agent reports it. */
 export interface AgentTask {
   job: string;
@@ -147,7 +150,12 @@
 });
 const results = v.object({
   pieces: v.array(
-    v.object({ piece: v.string(), try: counter, result: v.optional(v.nullable(result), null) }),
+    v.object({
+      piece: v.string(),
+      try: counter,
+      // A result that cannot be read counts as missing; the results of the other tasks are used.
+      result: v.fallback(v.optional(v.nullable(result), null), null),
+    }),
   ),
 });
 
