Agent: an attempt that is forgotten at lease end is no longer prepared or run

Cause: the loop that fetches a task's job description ended only when the task's phase changed or the agent stopped. When the lease ended, the worker dropped the task from its list and left the phase as it was; the loop went on, and nothing asked whether the worker still held the task before its command was started. No heartbeat listed it, so no order could reach it. Change: a preparation belongs to the task object and is cancelled when the task is stopped or forgotten (TaskPreparations). The worker ignores events of tasks that it does not hold, so that an event which is on its way has no effect either.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -8,6 +8,7 @@
   parseHeartbeatResponse,
   parseRedirect,
   parseJoinResponse,
+  type AgentJob,
   type AgentTask,
   type JoinResponse,
   type TaskResult,
@@ -19,6 +20,7 @@
 import { JobDescriptions } from './job-descriptions.js';
 import type { AgentSettings } from './settings.js';
 import { TaskExecutor } from './task-executor.js';
+import { TaskPreparations } from './task-preparations.js';
 import { Worker, type WorkerEffect, type WorkerState } from './worker.js';
 
 /** The minimum time between two heartbeats, as a share of the heartbeat interval. */
@@ -38,7 +40,7 @@
   private readonly bootId = readBootId();
   private readonly lease: AgentLease;
   private readonly controlClient: ControlClient;
-  private readonly jobDescriptions: JobDescriptions;
+  private readonly preparations: TaskPreparations;
   private readonly executor: TaskExecutor;
   private readonly server: AgentServer;
   /** The worker state machine; null until the agent has joined. */
@@ -69,7 +71,12 @@
     this.controlClient = new ControlClient(
       settings.controls.map((address, i) => ({ address, name: settings.controlNames[i] })),
     );
-    this.jobDescriptions = new JobDescriptions(this.controlClient);
+    const jobDescriptions = new JobDescriptions(this.controlClient);
+    this.preparations = new TaskPreparations({
+      fetchJob: (id) => jobDescriptions.fetch(id),
+      retryDelayMs: (failures) => backoffDelayMs(this.retryPolicy, failures, this.random),
+      onFetched: (task, job) => this.onJobFetched(task, job),
+    });
     this.executor = new TaskExecutor({
       settings,
       agentId: this.record.id,
@@ -99,6 +106,7 @@
   stop(): void {
     this.stopped = true;
     for (const timer of this.timers) clearTimeout(timer);
+    this.preparations.close();
     if (this.executor.idle) this.lease.stopWatchdog();
     this.executor.close();
     this.server.close();
@@ -300,35 +308,32 @@
           this.persistState();
           break;
         case 'prepare':
-          void this.prepare(effect.task);
+          if (!this.stopped) this.preparations.start(effect.task);
           break;
         case 'run':
           this.executor.run(effect.task, this.record.host!);
           break;
         case 'stop':
+          this.preparations.cancel(effect.task);
           this.executor.stop(effect.task, effect.graceS);
           break;
         case 'forget':
+          this.preparations.cancel(effect.task);
           this.executor.forget(effect.task);
           break;
       }
   }
 
-  /** Fetches the description of a task's job, with retries, and checks that the machine has capacity for the task. */
-  private async prepare(task: AgentTask): Promise<void> {
+  /** Runs a task whose job is known if the machine has capacity for it, unless the lease has expired meanwhile. */
+  private onJobFetched(task: AgentTask, job: AgentJob | 'unknown'): void {
+    this.checkLease();
     const worker = this.worker!;
-    for (let attempt = 1; task.phase === 'fetching' && !this.stopped; attempt++) {
-      const job = await this.jobDescriptions.fetch(task.job);
-      if (this.stopped) return;
-      if (job === 'unknown') return this.applyEffects(worker.onExited(task, 'unknown', null, false));
-      if (job) {
-        if (!this.executor.hasCapacity(task, job, worker.tasks))
-          return this.applyEffects(worker.onExited(task, 'full', null, false));
-        this.executor.setJob(task, job);
-        return this.applyEffects(worker.onPrepared(task, job.gang));
-      }
-      await this.pause(backoffDelayMs(this.retryPolicy, attempt, this.random));
-    }
+    if (!worker.holds(task)) return;
+    if (job === 'unknown') return this.applyEffects(worker.onExited(task, 'unknown', null, false));
+    if (!this.executor.hasCapacity(task, job, worker.tasks))
+      return this.applyEffects(worker.onExited(task, 'full', null, false));
+    this.executor.setJob(task, job);
+    this.applyEffects(worker.onPrepared(task, job.gang));
   }
 
   private onTaskEnded(task: AgentTask, result: TaskResult, saved: boolean): void {
--- a/src/agent/worker.ts
+++ b/src/agent/worker.ts
@@ -188,21 +188,24 @@
 
   // ---- events from the agent ----
 
-  /** Called when a task's job is known and the machine has capacity: the task runs now, or waits for its gang. */
+  /**
+   * Called when a task's job is known and the machine has capacity: the task runs now, or waits for its gang. Has no effect on
+   * a task that the worker has forgotten meanwhile.
+   */
   onPrepared(task: AgentTask, gang: boolean): WorkerEffect[] {
-    if (task.phase !== 'fetching') return [];
+    if (!this.holds(task) || task.phase !== 'fetching') return [];
     task.phase = gang ? 'waiting' : 'running';
     return gang ? [{ type: 'heartbeat-soon' }] : [{ type: 'run', task }, { type: 'heartbeat-soon' }];
   }
 
-  /** Called when a task has ended or cannot be run. */
+  /** Called when a task has ended or cannot be run. Has no effect on a task that the worker has forgotten meanwhile. */
   onExited(
     task: AgentTask,
     why: AgentTask['why'],
     result: TaskResult | null,
     saved: boolean,
   ): WorkerEffect[] {
-    if (task.phase === 'exited') return [];
+    if (!this.holds(task) || task.phase === 'exited') return [];
     Object.assign(task, { phase: 'exited', why, result, saved });
     return [{ type: 'heartbeat-soon' }];
   }
--- /dev/null
+++ b/test/agent-lease.test.ts
@@ -0,0 +1,112 @@
+/** Tests that nothing of a task attempt outlives the agent's lease, and that only a proven exit of its command ends it. */
+import assert from 'node:assert/strict';
+import { existsSync, mkdtempSync, readFileSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import { Agent, parseAgentSettings } from '../src/agent/index.js';
+import { findProcessesByMark, sendSignal } from '../src/agent/processes.js';
+import { seededRandom } from '../src/retry/index.js';
+import { ScriptedControl, type ReportedHeartbeat, type ReportedTask } from './support/scripted-control.js';
+
+const runOrder = { verb: 'run', piece: 'req-1/0', try: 1 } as const;
+/** The attempt that `runOrder` starts, as a heartbeat lists it. */
+const listedAttempt = (heartbeat: ReportedHeartbeat): ReportedTask | undefined =>
+  heartbeat.pieces.find(({ piece, try: attempt }) => piece === runOrder.piece && attempt === runOrder.try);
+/** Orders the attempt to be started whenever the agent does not list it, as the core does. */
+const startIfMissing = (heartbeat: ReportedHeartbeat) => (listedAttempt(heartbeat) ? [] : [runOrder]);
+const reject = (): null => null;
+const noOrders = (): [] => [];
+
+/** One agent in this process and its control service, in a temporary directory. */
+class AgentFixture {
+  readonly dir = mkdtempSync(join(tmpdir(), 'dapplepick-lease-'));
+  private readonly agents: Agent[] = [];
+
+  private constructor(readonly control: ScriptedControl) {}
+  /** Creates the fixture; starts no agent. */
+  static async create(leaseS: number): Promise<AgentFixture> {
+    return new AgentFixture(await ScriptedControl.start({ reportS: 0.1, leaseS }));
+  }
+  /** Starts the agent. */
+  async startAgent(): Promise<Agent> {
+    const settings = parseAgentSettings(
+      `(agent (name a) (control "${this.control.address}") (directory "${join(this.dir, 'a')}") (cpus 2) (mem-gb 1))`,
+    );
+    const agent = new Agent(settings, seededRandom(1), () => undefined);
+    this.agents.push(agent);
+    await agent.start();
+    return agent;
+  }
+  /** The path of a file of the test. */
+  path(name: string): string {
+    return join(this.dir, name);
+  }
+  /** The description of a job whose command is a shell script. */
+  job(script: string): object {
+    const command = {
+      argv: ['/bin/sh', '-c', script],
+      env: {},
+      dir: null,
+      stdout: null,
+      stderr: null,
+      wallS: null,
+      retries: 0,
+    };
+    const standIn = { sleepS: 0, fail: 0, hang: false, memMb: 0 };
+    return { cpus: 1, gpus: 0, memGb: 0.1, gang: false, saveS: 1, checkpointS: 1, command, standIn };
+  }
+  /** The running processes of the agent's tasks. */
+  taskProcesses(): { pid: number; mark: string }[] {
+    const record = JSON.parse(readFileSync(this.path('a/agent.json'), 'utf8')) as { id: string };
+    return findProcessesByMark(`${record.id}/`);
+  }
+  /** Rejects heartbeats until the agent's lease has expired. */
+  async letLeaseExpire(): Promise<void> {
+    const { tenure } = this.control.latest!;
+    this.control.respond = reject;
+    await this.control.nextHeartbeat((heartbeat) => heartbeat.tenure > tenure);
+  }
+  /** Stops the agent and kills what it leaves behind. */
+  tearDown(): void {
+    for (const agent of this.agents) agent.stop();
+    this.control.close();
+    const marked = [...this.taskProcesses(), ...findProcessesByMark(`watchdog:${this.path('a')}`)];
+    for (const { pid } of marked) sendSignal(pid, 'SIGKILL');
+    rmSync(this.dir, { recursive: true, force: true, maxRetries: 20, retryDelay: 100 });
+  }
+}
+
+/** For tests that wait until the lease expires. An earlier expiry, on a busy machine, does not change their verdict. */
+const shortLeaseS = 1;
+
+const withAgent = async (leaseS: number, use: (fixture: AgentFixture) => Promise<void>): Promise<void> => {
+  const fixture = await AgentFixture.create(leaseS);
+  try {
+    await use(fixture);
+  } finally {
+    fixture.tearDown();
+  }
+};
+
+// Guards against a command that is started for an attempt which was forgotten, so that no report lists it.
+test('lease: an attempt that is forgotten while its job description is being fetched is never run', () =>
+  withAgent(shortLeaseS, async (fixture) => {
+    const { control } = fixture;
+    control.respond = startIfMissing;
+    await fixture.startAgent();
+    await control.waitUntil(() => control.jobRequests.length > 0);
+    await fixture.letLeaseExpire();
+    const requestsAtLeaseEnd = control.jobRequests.length;
+    control.jobs.set('req-1', fixture.job(`touch ${fixture.path('ran')}; sleep 60`));
+    control.respond = noOrders;
+    // Longer than the longest delay between two requests for a description.
+    await control.waitForHeartbeats(20);
+    assert.equal(existsSync(fixture.path('ran')), false, 'the command of a forgotten attempt was run');
+    // One request may have been on its way when the lease ended.
+    assert.ok(
+      control.jobRequests.length <= requestsAtLeaseEnd + 1,
+      'the agent still fetches the description',
+    );
+    assert.deepEqual(control.latest?.pieces, []);
+  }));
