Agent: only the recorded exit of a start of its own ends an attempt

Cause: files and processes of a command were named after its attempt. The control service may start an attempt again that the agent has forgotten (lease end, or 'clear'); the shim of that start found the 'claim' of the first one and ended with 0 without running anything, and the runner took the exit status of the shim for that of the command where none was recorded. Change: each start has a directory and a mark of its own (the first one of an attempt the same names as before, so that agents of earlier versions and this one adopt each other's commands). An exit code counts if the shim recorded it, or if it recorded its PID right before the command and this process saw it exit; otherwise the attempt is lost and runs again. An empty record is no 0. A forgotten task is dropped whole: its command is killed, its end is not reported, its start is claimed so that a late shim runs nothing, and what is left of its processes is killed at once, at lease end and at the end of the membership. What the agent calls done is what the control service calls a success: exit by itself, with 0.

--- a/src/agent/agent-directory.ts
+++ b/src/agent/agent-directory.ts
@@ -1,4 +1,4 @@
-/** The agent's directory: the agent's own record, and a subdirectory for each task with the task's record and output. */
+/** The agent's directory: the agent's own record, and a subdirectory for each start of a task with its record and output. */
 import {
   closeSync,
   existsSync,
@@ -14,6 +14,7 @@
 } from 'node:fs';
 import { join } from 'node:path';
 import type { AgentJob, AgentTask } from '../wire/agent.js';
+import { claimTask } from './task-files.js';
 
 /** The agent's own persistent state. It is stored, so its field names are part of the storage format. */
 export interface AgentRecord {
@@ -29,12 +30,25 @@
   seqFrom: number;
 }
 
+/** The names of an attempt of a task. */
+export type Attempt = Pick<AgentTask, 'job' | 'index' | 'attempt'>;
+
+/**
+ * One start of an attempt. The control service may repeat the start of an attempt that the worker has forgotten, so the
+ * attempt alone does not identify a command's files and processes.
+ */
+export interface TaskStart {
+  readonly task: Attempt;
+  /** The number of the start, from 1; undefined in records of earlier versions, which had one start per attempt. */
+  readonly start?: number;
+}
+
 /**
- * The persistent state of a task, from before it is started until the control service has recorded its end. It is stored, so
- * its field names are part of the storage format.
+ * The persistent state of a start, from before its command runs until the worker forgets the task: the control service has
+ * recorded its end, or the lease has expired. It is stored, so its field names are part of the storage format.
  */
-export interface TaskRecord {
-  task: AgentTask;
+export interface TaskRecord extends TaskStart {
+  readonly task: AgentTask;
   job: AgentJob | null;
   /** When the task was started, as wall-clock time, ms, and as machine uptime, s, because the wall clock may be adjusted. */
   startedAt: number;
@@ -43,6 +57,9 @@
   boot: string;
 }
 
+const firstStart = 1;
+const attemptDirectoryName = ({ job, index, attempt }: Attempt): string => `${job}.${index}.${attempt}`;
+
 /** Writes a file atomically: after a crash it has either the new or the previous contents. */
 function writeAtomically(path: string, text: string): void {
   const temporaryPath = `${path}.part`;
@@ -76,22 +93,47 @@
     writeAtomically(join(this.path, 'agent.json'), JSON.stringify(record));
   }
 
-  /** Returns the directory of a task attempt. */
-  taskDirectory(task: { job: string; index: number; attempt: number }): string {
-    return join(this.tasksPath, `${task.job}.${task.index}.${task.attempt}`);
+  /** Returns the directory of a start. */
+  startDirectory({ task, start = firstStart }: TaskStart): string {
+    const attemptName = attemptDirectoryName(task);
+    return join(this.tasksPath, start === firstStart ? attemptName : `${attemptName}.${start}`);
+  }
+
+  /** Returns the directory of the newest start of an attempt, or that of its first start if it was never started. */
+  taskDirectory(task: Attempt): string {
+    return this.startDirectory({ task, start: this.newestStart(task) ?? firstStart });
+  }
+
+  /** Creates the directory of a new start of an attempt, which no other start has used; returns the number of the start. */
+  createStart(task: Attempt): number {
+    const start = (this.newestStart(task) ?? 0) + 1;
+    mkdirSync(this.startDirectory({ task, start }), { mode: 0o700 });
+    return start;
+  }
+
+  /** Returns the number of the newest start of an attempt whose directory exists; null if there is none. */
+  private newestStart(task: Attempt): number | null {
+    const attemptName = attemptDirectoryName(task);
+    const starts = readdirSync(this.tasksPath).flatMap((name) => {
+      if (name === attemptName) return [firstStart];
+      return name.startsWith(`${attemptName}.`) ? [Number(name.slice(attemptName.length + 1))] : [];
+    });
+    return starts.length > 0 ? Math.max(...starts) : null;
   }
 
   /** Writes the record of a task. */
   saveTask(record: TaskRecord): void {
-    const dir = this.taskDirectory(record.task);
+    const dir = this.startDirectory(record);
     mkdirSync(dir, { recursive: true, mode: 0o700 });
     writeAtomically(join(dir, 'task.json'), JSON.stringify(record));
   }
 
-  /** Removes the record of a task whose end the control service has recorded. The task's output is kept. */
-  removeTaskRecord(task: { job: string; index: number; attempt: number }): void {
-    const dir = this.taskDirectory(task);
-    // The claim is kept, so that a shim process that is scheduled late does not run the command.
+  /** Removes the record of a start whose task the worker has forgotten. The output of its command is kept. */
+  removeTaskRecord(start: TaskStart): void {
+    const dir = this.startDirectory(start);
+    if (!existsSync(dir)) return;
+    // The start is claimed, so that a shim process that is scheduled late does not run the command.
+    claimTask(dir);
     for (const name of ['task.json', 'pid', 'exit'])
       rmSync(join(dir, name), { recursive: true, force: true });
   }
--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -8,6 +8,7 @@
   parseHeartbeatResponse,
   parseRedirect,
   parseJoinResponse,
+  succeeded,
   type AgentJob,
   type AgentTask,
   type JoinResponse,
@@ -189,7 +190,8 @@
     this.workerState = sameHost
       ? { agentEpoch: session, seq: seqFrom, fencingToken: token }
       : { agentEpoch: session + 1, seq: seqFrom, fencingToken: 0 };
-    if (!sameHost) for (const { task } of records) this.directory.removeTaskRecord(task);
+    if (sameHost) for (const record of records) this.executor.restore(record);
+    else for (const record of records) this.directory.removeTaskRecord(record);
     const tasks = sameHost ? records.map((record) => record.task) : [];
     this.record.host = terms.host;
     const { type, zone } = this.settings;
@@ -200,8 +202,7 @@
     this.persistState();
     this.applyEffects(this.worker.tick(performance.now()));
     this.lease.renew(this.worker.leaseStart, leaseMs);
-    const held = new Set(this.worker.tasks);
-    if (sameHost) for (const record of records) this.resumeTask(record, held.has(record.task));
+    if (sameHost) for (const record of records) this.resumeTask(record);
     this.executor.sweepOrphans();
     this.log('info', 'joined control service', {
       host: terms.host,
@@ -210,11 +211,11 @@
     });
   }
 
-  /** Adopts a recorded task that was started, or prepares it again. `held` is false if the lease has expired meanwhile. */
-  private resumeTask(record: TaskRecord, held: boolean): void {
+  /** Adopts a recorded task that was started, or prepares it again. Does nothing if the lease has expired meanwhile. */
+  private resumeTask(record: TaskRecord): void {
     const { task, job } = record;
-    if (job) this.executor.setJob(task, job);
-    if (task.phase === 'exited' || !held) return;
+    if (!this.worker!.holds(task)) return this.executor.forget(task);
+    if (task.phase === 'exited') return;
     this.lease.startWatchdog();
     if (job && task.phase !== 'fetching' && task.phase !== 'waiting') this.executor.adopt(record, job);
     else {
@@ -227,6 +228,7 @@
   private endMembership(reason: string): void {
     this.log('warn', 'membership ended', { why: reason });
     this.applyEffects(this.worker!.startEpoch(performance.now()));
+    this.executor.sweepOrphans();
     this.record.host = null;
     this.directory.saveAgent(this.record);
     this.resolveReleased(reason);
@@ -288,6 +290,7 @@
     // The watchdog exits when the lease expires, so tasks of the next epoch need a new one.
     this.lease.markExpired();
     this.applyEffects(effects);
+    this.executor.sweepOrphans();
   }
 
   private persistState(): void {
@@ -337,7 +340,7 @@
   }
 
   private onTaskEnded(task: AgentTask, result: TaskResult, saved: boolean): void {
-    const why = result.reason === 'stopped' ? 'stopped' : result.exit === 0 ? 'done' : 'error';
+    const why = result.reason === 'stopped' ? 'stopped' : succeeded(result) ? 'done' : 'error';
     this.applyEffects(this.worker!.onExited(task, why, result, saved));
     // If the task was forgotten meanwhile, its end is not recorded, because nothing would ever remove the record.
     if (this.worker!.holds(task)) this.executor.recordEnd(task);
--- a/src/agent/command-runner.ts
+++ b/src/agent/command-runner.ts
@@ -1,12 +1,13 @@
-/** Runs task commands: starts, adopts and stops them, enforces their limits and determines how they ended. */
+/** Runs task commands: starts, adopts, stops and forgets them, enforces their limits and determines how they ended. */
 import type { ChildProcess } from 'node:child_process';
 import { uptime } from 'node:os';
 import type { Log } from '../core/effects.js';
 import { taskKey } from '../model/job.js';
 import { commandForTask } from '../model/task-command.js';
 import type { AgentJob, AgentTask, ResultReason, TaskResult } from '../wire/agent.js';
-import type { AgentDirectory, TaskRecord } from './agent-directory.js';
-import { listProcessesByGroup, findProcessesByMark, sendSignal } from './processes.js';
+import type { AgentDirectory, TaskRecord, TaskStart } from './agent-directory.js';
+import { commandEnd, type CommandEnd } from './command-end.js';
+import { findProcessesByMark, killProcessesByMark, listProcessesByGroup, sendSignal } from './processes.js';
 import { spawnCommand } from './spawn-command.js';
 import { claimTask, readExitCode, readGroupLeader, truncateOutput } from './task-files.js';
 
@@ -42,17 +43,13 @@
   exited: boolean;
 }
 
-/** How a command ended, without the start and end times. */
-type CommandEnd = Pick<TaskResult, 'exit' | 'signal' | 'reason'>;
-
 /** Commands that exit within this time are cleaned up together, because each clean-up lists all processes. */
 const cleanupDelayMs = 20;
-/** A shell reports a command that was ended by a signal with this exit code plus the signal's number. */
-const shellSignalBase = 128;
-const maxSignal = 64;
 
 /** Runs commands, each in a process group of its own. */
 export class CommandRunner {
+  /** The records of all starts whose tasks are not forgotten, ended ones included. */
+  private readonly records = new Map<AgentTask, TaskRecord>();
   private readonly running = new Map<AgentTask, RunningTask>();
   /** Commands that have exited and whose leftover processes are yet to be killed. */
   private readonly pendingCleanups = new Map<RunningTask, CommandEnd>();
@@ -80,10 +77,11 @@
     return this.running.size === 0;
   }
 
-  /** Starts the command of a task. */
+  /** Starts the command of a task, in a directory that no earlier start of the same attempt has used. */
   start(task: AgentTask, job: AgentJob, host: string, boot: string): void {
     const record: TaskRecord = {
       task,
+      start: this.directory.createStart(task),
       job,
       startedAt: Date.now(),
       startedUptimeS: uptime(),
@@ -91,6 +89,7 @@
     };
     // The record is written before the start, so that a restarted agent knows that the command may have run.
     this.directory.saveTask(record);
+    this.restore(record);
     const command = job.command && commandForTask(job.command, task.index);
     const running = this.track(record, job);
     if (!command) return this.fail(running, 'cannot run');
@@ -98,9 +97,9 @@
       this.log('warn', 'cannot run', { piece: taskKey(task.job, task.index), error: String(error.message) });
       this.fail(running, 'cannot run');
     };
-    const directory = this.directory.taskDirectory(task);
     try {
-      const child = spawnCommand({ task, command, directory, mark: this.mark(task), host });
+      const directory = this.directory.startDirectory(record);
+      const child = spawnCommand({ task, command, directory, mark: this.mark(record), host });
       running.child = child;
       running.pid = child.pid ?? null;
       child.on('error', onFailure);
@@ -110,11 +109,17 @@
     }
   }
 
+  /** Takes over the record of a start from an earlier process of this agent. */
+  restore(record: TaskRecord): void {
+    this.records.set(record.task, record);
+  }
+
   /** Takes over a task from an earlier process of this agent: its command may be running, have exited, or never have run. */
   adopt(record: TaskRecord, job: AgentJob, boot: string): void {
     const { task } = record;
+    this.restore(record);
     const running = this.track(record, job);
-    const directory = this.directory.taskDirectory(task);
+    const directory = this.directory.startDirectory(record);
     // If this claim succeeds, the shim has not run the command, and now never will. The task is not started a second time.
     if (claimTask(directory) || record.boot !== boot) return this.fail(running, 'lost');
     running.pid = readGroupLeader(directory);
@@ -129,18 +134,44 @@
     if (running) this.terminate(running, 'stopped', graceS);
   }
 
+  /** Records the end of a task on disk, where it stays until the task is forgotten. */
+  recordEnd(task: AgentTask): void {
+    const record = this.records.get(task);
+    if (record) this.directory.saveTask(record);
+  }
+
+  /**
+   * Forgets a task and removes its record. If its command is still running, it is killed, and its end is not reported. The
+   * output of the command is kept.
+   */
+  forget(task: AgentTask): void {
+    const record = this.records.get(task);
+    if (!record) return;
+    this.records.delete(task);
+    const running = this.running.get(task);
+    if (running) {
+      this.running.delete(task);
+      this.pendingCleanups.delete(running);
+      if (running.pid !== null) sendSignal(-running.pid, 'SIGKILL');
+    }
+    this.directory.removeTaskRecord(record);
+  }
+
   /** Kills leftover processes of this agent that belong to no running task, such as those of an earlier epoch. */
   sweepOrphans(): void {
-    const runningMarks = new Set([...this.running.keys()].map((task) => this.mark(task)));
-    for (const { pid, mark } of findProcessesByMark(`${this.settings.agentId}/`))
-      if (!runningMarks.has(mark)) {
-        this.log('warn', 'orphan process killed', { pid, mark });
-        sendSignal(pid, 'SIGKILL');
-      }
+    const runningMarks = new Set([...this.running.values()].map(({ record }) => this.mark(record)));
+    const killed = killProcessesByMark(this.markPrefix, (mark) => !runningMarks.has(mark));
+    for (const { pid, mark } of killed) this.log('warn', 'orphan process killed', { pid, mark });
+  }
+
+  private get markPrefix(): string {
+    return `${this.settings.agentId}/`;
   }
 
-  private mark(task: AgentTask): string {
-    return `${this.settings.agentId}/${task.job}/${task.index}/${task.attempt}`;
+  /** Returns the mark of a start's processes. The mark of a first start has no number, as in earlier versions. */
+  private mark({ task, start = 1 }: TaskStart): string {
+    const attemptMark = `${this.markPrefix}${task.job}/${task.index}/${task.attempt}`;
+    return start === 1 ? attemptMark : `${attemptMark}/${start}`;
   }
 
   private track(record: TaskRecord, job: AgentJob): RunningTask {
@@ -179,7 +210,7 @@
         this.onExit(running, null, null);
         continue;
       }
-      truncateOutput(this.directory.taskDirectory(running.record.task), this.settings.outputBytes);
+      truncateOutput(this.directory.startDirectory(running.record), this.settings.outputBytes);
       if (running.termination) {
         if (now >= running.termination.killAt && !running.termination.killed) this.kill(running);
         continue;
@@ -195,7 +226,7 @@
 
   /** Whether the group leader still is the task's process, and not another process with a reused PID. */
   private isAlive(running: RunningTask): boolean {
-    return findProcessesByMark(this.mark(running.record.task)).some(({ pid }) => pid === running.pid);
+    return findProcessesByMark(this.mark(running.record)).some(({ pid }) => pid === running.pid);
   }
 
   private fail(running: RunningTask, reason: ResultReason): void {
@@ -204,31 +235,31 @@
 
   /** Handles the exit of the shim: kills the rest of the command's process group and schedules the clean-up. */
   private onExit(running: RunningTask, code: number | null, signal: NodeJS.Signals | null): void {
-    if (running.exited || !this.running.has(running.record.task)) return;
+    const { record } = running;
+    if (running.exited || this.running.get(record.task) !== running) return;
     running.exited = true;
     if (running.pid !== null) sendSignal(-running.pid, 'SIGKILL');
-    const recorded = readExitCode(this.directory.taskDirectory(running.record.task));
-    const exit = recorded ?? code;
-    const reason = running.termination?.reason ?? (exit === null ? 'lost' : 'exited');
-    if (exit !== null && exit > shellSignalBase && exit <= shellSignalBase + maxSignal)
-      this.pendingCleanups.set(running, { exit: null, signal: signalName(exit - shellSignalBase), reason });
-    else
-      this.pendingCleanups.set(running, {
-        exit,
-        signal: exit === null ? (signal ?? (running.termination ? 'SIGKILL' : null)) : null,
-        reason,
-      });
+    const end = commandEnd(this.provenExitCode(record, code), running.termination?.reason ?? null, signal);
+    this.pendingCleanups.set(running, end);
     this.cleanupTimer ??= setTimeout(() => this.cleanUp(), cleanupDelayMs);
   }
 
+  /**
+   * Returns the exit code of a start's command if it is proven: the shim has recorded it, or has at least recorded its PID,
+   * which it does right before it runs the command, and has exited with the command's code. `shimCode` is the exit code of the
+   * shim if it was a child of this process.
+   */
+  private provenExitCode(record: TaskRecord, shimCode: number | null): number | null {
+    const directory = this.directory.startDirectory(record);
+    const commandWasRun = readGroupLeader(directory) !== null;
+    return readExitCode(directory) ?? (commandWasRun ? shimCode : null);
+  }
+
   /** Kills processes of exited commands that had left their process groups, and only then reports that the tasks ended. */
   private cleanUp(): void {
     this.cleanupTimer = null;
-    const exitedMarks = new Set(
-      [...this.pendingCleanups.keys()].map((running) => this.mark(running.record.task)),
-    );
-    for (const { pid, mark } of findProcessesByMark(`${this.settings.agentId}/`))
-      if (exitedMarks.has(mark)) sendSignal(pid, 'SIGKILL');
+    const exitedMarks = new Set([...this.pendingCleanups.keys()].map(({ record }) => this.mark(record)));
+    killProcessesByMark(this.markPrefix, (mark) => exitedMarks.has(mark));
     const ends = [...this.pendingCleanups];
     this.pendingCleanups.clear();
     for (const [running, end] of ends) this.finish(running, end);
@@ -236,25 +267,11 @@
 
   private finish(running: RunningTask, end: CommandEnd): void {
     const { task, startedAt, startedUptimeS } = running.record;
-    if (!this.running.delete(task)) return;
+    if (this.running.get(task) !== running) return;
+    this.running.delete(task);
     // Based on the machine's uptime, because the wall clock may have been adjusted meanwhile.
     const endedAt = startedAt + Math.max(0, Math.round((uptime() - startedUptimeS) * 1000));
     const saved = end.reason === 'stopped' && end.exit === 0 && running.job.checkpointS > 0;
     this.events.ended(task, { ...end, startedAt, endedAt }, saved);
   }
 }
-
-const signalNames: Record<number, string> = {
-  1: 'SIGHUP',
-  2: 'SIGINT',
-  3: 'SIGQUIT',
-  4: 'SIGILL',
-  6: 'SIGABRT',
-  8: 'SIGFPE',
-  9: 'SIGKILL',
-  11: 'SIGSEGV',
-  13: 'SIGPIPE',
-  14: 'SIGALRM',
-  15: 'SIGTERM',
-};
-const signalName = (number: number): string => signalNames[number] ?? `signal ${number}`;
--- a/src/agent/processes.ts
+++ b/src/agent/processes.ts
@@ -69,3 +69,23 @@
     // The process or group no longer exists.
   }
 }
+
+/** Processes that are being started while others are listed can be missed, so they are listed again after a kill, at most this often. */
+const maxKillRounds = 5;
+
+/** Kills all processes whose mark starts with a prefix and is selected; returns them. */
+export function killProcessesByMark(
+  prefix: string,
+  isSelected: (mark: string) => boolean,
+): { pid: number; mark: string }[] {
+  const killed = new Map<number, string>();
+  for (let round = 0; round < maxKillRounds; round++) {
+    const selected = findProcessesByMark(prefix).filter(({ mark }) => isSelected(mark));
+    if (selected.length === 0) break;
+    for (const { pid, mark } of selected) {
+      killed.set(pid, mark);
+      sendSignal(pid, 'SIGKILL');
+    }
+  }
+  return [...killed].map(([pid, mark]) => ({ pid, mark }));
+}
--- a/src/agent/simulated-tasks.ts
+++ b/src/agent/simulated-tasks.ts
@@ -59,10 +59,16 @@
     simulation.timer = setTimeout(() => this.end(task, 'stopped', 0, null), simulation.job.saveS * 1000);
   }
 
+  /** Drops a task without reporting that it ended. */
+  forget(task: AgentTask): void {
+    const timer = this.running.get(task)?.timer;
+    if (timer) clearTimeout(timer);
+    this.running.delete(task);
+  }
+
   /** Drops all tasks without reporting that they ended. */
   close(): void {
-    for (const simulation of this.running.values()) if (simulation.timer) clearTimeout(simulation.timer);
-    this.running.clear();
+    for (const task of [...this.running.keys()]) this.forget(task);
   }
 
   private end(task: AgentTask, reason: ResultReason, exit: number | null, signal: string | null): void {
--- a/src/agent/spawn-command.ts
+++ b/src/agent/spawn-command.ts
@@ -11,7 +11,7 @@
 export interface SpawnRequest {
   readonly task: AgentTask;
   readonly command: ReturnType<typeof commandForTask>;
-  /** The task's directory. */
+  /** The directory of the start. */
   readonly directory: string;
   /** The mark of the command's processes. */
   readonly mark: string;
--- a/src/agent/task-executor.ts
+++ b/src/agent/task-executor.ts
@@ -32,6 +32,7 @@
 export class TaskExecutor {
   private readonly runner: CommandRunner;
   private readonly simulatedTasks: SimulatedTasks;
+  /** The job descriptions of all tasks that are prepared and not forgotten. */
   private readonly jobs = new Map<AgentTask, AgentJob>();
   private forgottenTasks = 0;
 
@@ -80,6 +81,12 @@
     this.runner.start(task, job, host, this.options.bootId);
   }
 
+  /** Takes over the record of a task from an earlier process of this agent. */
+  restore(record: TaskRecord): void {
+    if (record.job) this.jobs.set(record.task, record.job);
+    this.runner.restore(record);
+  }
+
   /** Takes over a task's command from an earlier process of this agent. */
   adopt(record: TaskRecord, job: AgentJob): void {
     this.runner.adopt(record, job, this.options.bootId);
@@ -96,20 +103,20 @@
    * recorded: if the end of one is lost because the agent exits, the task is simulated again.
    */
   recordEnd(task: AgentTask): void {
-    const job = this.jobs.get(task);
-    if (!job?.command) return;
-    const { directory, bootId } = this.options;
-    directory.saveTask({ task, job, startedAt: 0, startedUptimeS: 0, boot: bootId });
+    this.runner.recordEnd(task);
   }
 
-  /** Removes the record of a task. The output of its command is kept until it is pruned. */
+  /**
+   * Ends everything that belongs to a task, without reporting its end, and removes its record. The output of its command is
+   * kept until it is pruned.
+   */
   forget(task: AgentTask): void {
-    const simulated = this.jobs.get(task)?.command === null;
+    const isCommand = this.jobs.get(task)?.command != null;
     this.jobs.delete(task);
-    if (simulated) return;
-    const { directory } = this.options;
-    directory.removeTaskRecord(task);
-    if (++this.forgottenTasks % pruneIntervalTasks === 0) directory.pruneOutputs(maxKeptOutputs);
+    this.simulatedTasks.forget(task);
+    this.runner.forget(task);
+    if (isCommand && ++this.forgottenTasks % pruneIntervalTasks === 0)
+      this.options.directory.pruneOutputs(maxKeptOutputs);
   }
 
   /** Kills leftover processes of this agent that belong to no running task. */
--- a/src/agent/task-files.ts
+++ b/src/agent/task-files.ts
@@ -19,13 +19,17 @@
   return Number.isInteger(pid) && pid > 1 ? pid : null;
 }
 
-/** Returns the exit code that the shim recorded; null if the command has not exited. */
+/**
+ * Returns the exit code that the shim recorded; null if there is no complete record. After a crash of the machine the file may
+ * be empty, which does not prove any exit code.
+ */
 export function readExitCode(directory: string): number | null {
   const path = join(directory, 'exit');
-  return existsSync(path) ? Number(readFileSync(path, 'latin1')) : null;
+  const text = existsSync(path) ? readFileSync(path, 'latin1').trim() : '';
+  return /^\d+$/.test(text) ? Number(text) : null;
 }
 
-/** Claims the right to run a task, as its shim does before it runs the command; false if it cannot be claimed. */
+/** Claims the right to run a start, as its shim does before it runs the command; false if it cannot be claimed. */
 export function claimTask(directory: string): boolean {
   try {
     mkdirSync(join(directory, 'claim'));
--- a/src/agent/worker.ts
+++ b/src/agent/worker.ts
@@ -9,7 +9,7 @@
   | { readonly type: 'prepare'; readonly task: AgentTask }
   | { readonly type: 'run'; readonly task: AgentTask }
   | { readonly type: 'stop'; readonly task: AgentTask; readonly graceS: number }
-  /** Remove the task's record. */
+  /** End everything that belongs to the task, without reporting its end, and remove its record. */
   | { readonly type: 'forget'; readonly task: AgentTask }
   /** Write the worker's state to disk: its epoch or fencing token has changed. */
   | { readonly type: 'persist-state' }
--- a/test/agent-lease.test.ts
+++ b/test/agent-lease.test.ts
@@ -1,6 +1,6 @@
 /** Tests that nothing of a task attempt outlives the agent's lease, and that only a proven exit of its command ends it. */
 import assert from 'node:assert/strict';
-import { existsSync, mkdtempSync, readFileSync, rmSync } from 'node:fs';
+import { existsSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
@@ -79,6 +79,8 @@
 
 /** For tests that wait until the lease expires. An earlier expiry, on a busy machine, does not change their verdict. */
 const shortLeaseS = 1;
+/** For tests in which the lease must not expire by itself. */
+const longLeaseS = 60;
 
 const withAgent = async (leaseS: number, use: (fixture: AgentFixture) => Promise<void>): Promise<void> => {
   const fixture = await AgentFixture.create(leaseS);
@@ -89,6 +91,45 @@
   }
 };
 
+// Guards against an attempt that is reported as done, although its command was killed at lease end and never run again.
+test('lease: an attempt that was killed at lease end and is started again runs its command again', () =>
+  withAgent(shortLeaseS, async (fixture) => {
+    const { control } = fixture;
+    const [began, go] = [fixture.path('began'), fixture.path('go')];
+    control.jobs.set(
+      'req-1',
+      fixture.job(`if [ -f ${go} ]; then exit 7; fi; touch ${began}; sleep 60; exit 0`),
+    );
+    control.respond = startIfMissing;
+    await fixture.startAgent();
+    await control.waitUntil(() => existsSync(began));
+    await fixture.letLeaseExpire();
+    writeFileSync(go, '');
+    control.respond = startIfMissing;
+    const heartbeat = await control.nextHeartbeat((h) => listedAttempt(h)?.status === 'exited');
+    const { result, cause } = listedAttempt(heartbeat)!;
+    assert.deepEqual([cause, result?.reason, result?.exit], ['error', 'exited', 7]);
+  }));
+
+// Guards against the same report of success for an attempt that is started again after its end was cleared.
+test('lease: an attempt that is started again after it was cleared runs its command again', () =>
+  withAgent(longLeaseS, async (fixture) => {
+    const { control } = fixture;
+    const ran = fixture.path('ran');
+    control.jobs.set('req-1', fixture.job(`echo >> ${ran}; exit $(wc -l < ${ran})`));
+    const exits: (number | null | undefined)[] = [];
+    control.respond = (heartbeat) => {
+      const attempt = listedAttempt(heartbeat);
+      if (!attempt) return exits.length < 2 ? [runOrder] : [];
+      if (attempt.status !== 'exited') return [];
+      exits.push(attempt.result?.exit);
+      return [{ ...runOrder, verb: 'clear' }];
+    };
+    await fixture.startAgent();
+    await control.nextHeartbeat((heartbeat) => exits.length === 2 && heartbeat.pieces.length === 0);
+    assert.deepEqual(exits, [1, 2]);
+  }));
+
 // Guards against a command that is started for an attempt which was forgotten, so that no report lists it.
 test('lease: an attempt that is forgotten while its job description is being fetched is never run', () =>
   withAgent(shortLeaseS, async (fixture) => {
--- a/test/agent.test.ts
+++ b/test/agent.test.ts
@@ -1,5 +1,6 @@
 /** Tests the worker state machine, and the agent on real processes and files: tasks, limits, leases, restarts, settings. */
 import assert from 'node:assert/strict';
+import { spawnSync } from 'node:child_process';
 import { existsSync, mkdtempSync, readFileSync, rmSync, statSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { createServer } from 'node:http';
@@ -9,6 +10,8 @@
 import { Agent } from '../src/agent/index.js';
 import { AgentDirectory } from '../src/agent/agent-directory.js';
 import { CommandRunner } from '../src/agent/command-runner.js';
+import { shim } from '../src/agent/shim.js';
+import { readExitCode } from '../src/agent/task-files.js';
 import { Worker, type WorkerEffect } from '../src/agent/worker.js';
 import { defaultAgentSettings, parseAgentSettings } from '../src/agent/settings.js';
 import { parseControlSettings } from '../src/control/settings.js';
@@ -167,8 +170,9 @@
   }
 };
 
-test('runner: exit codes, signals, environment, output, limits, and leftover processes', async () => {
+test('runner: exit codes, signals, environment, output, limits, and leftover processes', async (t) => {
   const fixture = new RunnerFixture();
+  t.after(() => fixture.close());
   const run = (index: number, jobDescription: AgentJob): AgentTask => {
     const task = runningTask(index);
     fixture.runner.start(task, jobDescription, 'd.1', 'boot');
@@ -235,11 +239,11 @@
     [checkpointResult.reason, checkpointResult.exit, checkpointResult.saved],
     ['stopped', 0, true],
   );
-  fixture.close();
 });
 
-test('runner: a restarted agent adopts running and ended commands, and starts none twice', async () => {
+test('runner: a restarted agent adopts running and ended commands, and starts none twice', async (t) => {
   const fixture = new RunnerFixture();
+  t.after(() => fixture.close());
   const startsPath = join(fixture.dir, 'count');
   const jobCountingStarts = (rest: string): AgentJob =>
     jobRunning(`echo "$DAPPLEPICK_INDEX.$DAPPLEPICK_ATTEMPT" >> ${startsPath}; ${rest}`);
@@ -285,7 +289,59 @@
   assert.deepEqual([longResult.exit, longResult.reason], [4, 'exited']);
   assert.deepEqual(readFileSync(startsPath, 'utf8').trim().split('\n').sort(), ['0.1', '1.1']);
   assert.ok(existsSync(join(fixture.agentDirectory.taskDirectory(neverStarted), 'claim')));
-  fixture.close();
+});
+
+// Guards against a second command of an attempt that does not run, and against output and kills that reach the other one.
+test('runner: two starts of one attempt have directories, processes and ends of their own', async (t) => {
+  const fixture = new RunnerFixture();
+  t.after(() => fixture.close());
+  const forgotten = runningTask(0);
+  const leaveProcess = 'setsid sleep 60 & echo $! > pid';
+  fixture.runner.start(forgotten, jobRunning(`echo first; ${leaveProcess}; sleep 60`), 'd.1', 'boot');
+  const firstDirectory = fixture.agentDirectory.taskDirectory(forgotten);
+  const leftPidPath = join(firstDirectory, 'work', 'pid');
+  for (let i = 0; i < 400 && !existsSync(leftPidPath); i++) await new Promise((r) => setTimeout(r, 25));
+  fixture.runner.forget(forgotten);
+  const repeated = runningTask(0);
+  fixture.runner.start(repeated, jobRunning('echo second; sleep 0.3; exit 7'), 'd.1', 'boot');
+  fixture.runner.sweepOrphans();
+  const { exit, reason } = await fixture.waitForEnd(repeated);
+  assert.deepEqual([exit, reason], [7, 'exited']);
+  assert.equal(fixture.readOutput(repeated), 'second\n');
+  assert.equal(fixture.ends.has(forgotten), false, 'the end of a forgotten task was reported');
+  const leftPid = Number(readFileSync(leftPidPath, 'utf8'));
+  for (let i = 0; i < 40 && isAlive(leftPid); i++) await new Promise((r) => setTimeout(r, 25));
+  assert.equal(isAlive(leftPid), false);
+  assert.deepEqual(
+    fixture.agentDirectory.loadTasks().map(({ start }) => start),
+    [2],
+  );
+});
+
+// Guards against a command that a shim runs after the agent has forgotten its task.
+test('runner: a shim that is scheduled after its task was forgotten does not run the command', (t) => {
+  const fixture = new RunnerFixture();
+  t.after(() => fixture.close());
+  const task = runningTask(0);
+  const start = fixture.agentDirectory.createStart(task);
+  const record = { task, start, job: jobRunning('true'), startedAt: 1, startedUptimeS: 1, boot: 'boot' };
+  fixture.agentDirectory.saveTask(record);
+  fixture.agentDirectory.removeTaskRecord(record);
+  const directory = fixture.agentDirectory.startDirectory(record);
+  const ranPath = join(fixture.dir, 'ran');
+  const { status } = spawnSync('/bin/sh', ['-c', shim, 'dapplepick', directory, 'touch', ranPath]);
+  assert.deepEqual([existsSync(ranPath), status], [false, 1]);
+});
+
+// Guards against an exit code of 0 that nobody recorded: an empty file read as a number is 0.
+test('runner: an incomplete record of an exit code proves nothing', (t) => {
+  const fixture = new RunnerFixture();
+  t.after(() => fixture.close());
+  const exitCodes = ['', '\n', 'x', '0\n', '137\n'].map((text) => {
+    writeFileSync(join(fixture.dir, 'exit'), text);
+    return readExitCode(fixture.dir);
+  });
+  assert.deepEqual(exitCodes, [null, null, null, 0, 137]);
 });
 
 test('settings of agents and control services: errors name the setting and its line', () => {
--- a/test/outage.test.ts
+++ b/test/outage.test.ts
@@ -1,6 +1,6 @@
 /** Tests agents and control services during outages of the network, store and processes, and after clock changes. */
 import assert from 'node:assert/strict';
-import { existsSync, mkdirSync, mkdtempSync, rmSync, utimesSync, writeFileSync } from 'node:fs';
+import { existsSync, mkdirSync, mkdtempSync, readFileSync, rmSync, utimesSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
@@ -59,6 +59,30 @@
     assert.equal(cluster.attempts().length, 2);
   }, '(report-s 0.3) (lease-s 2)'));
 
+// Guards against a job that is called done, although the agents killed its commands and never ran them again.
+test('outage: the control service is away for longer than the lease; killed commands run again before their job is done', () =>
+  withTestCluster(async (cluster) => {
+    const [linesPath, releasePath] = [join(cluster.dir, 'lines'), join(cluster.dir, 'go')];
+    const lines = (word: string): string[] =>
+      readFileSync(linesPath, 'utf8')
+        .split('\n')
+        .filter((line) => line.startsWith(`${word} `));
+    const note = (word: string): string => `echo "${word} $DAPPLEPICK_INDEX" >> ${linesPath}`;
+    writeFileSync(linesPath, '');
+    cluster.startProcess('control');
+    await cluster.startAgent('a');
+    const script = `${note('begin')}; while [ ! -f ${releasePath} ]; do sleep 0.1; done; ${note('end')}`;
+    await cluster.submit(cluster.job(1, { pieces: 3, command: ['/bin/sh', '-c', script] }));
+    await cluster.waitUntil(async () => lines('begin').length === 3);
+    await cluster.kill('control');
+    await cluster.waitUntil(async () => cluster.taskProcessesOf('a').length === 0);
+    writeFileSync(releasePath, '');
+    cluster.startProcess('control');
+    const one = await cluster.waitForJobEnd(1);
+    assert.deepEqual([one.status, one.done, one.failed], ['done', 3, 0]);
+    assert.deepEqual(lines('end').sort(), ['end 0', 'end 1', 'end 2']);
+  }, '(report-s 0.3) (lease-s 2)'));
+
 test('outage: the wall clock jumps; limits, leases and durations of tasks follow the monotonic clock', () =>
   withTestCluster(async (cluster) => {
     const realNow = Date.now;
