Agent: a command that is being stopped is not done, also if the agent restarts meanwhile

Cause: why a command was being stopped was known to the agent's process alone. A command that saves a checkpoint on SIGTERM and exits with 0 while no agent runs was adopted as one that had exited by itself, with 0: a task that was preempted, drained or over its time limit was reported as done. Change: reason and time of the kill are written to the task's record before the signal is sent. Evidence: 'a command that exits with 0 because it was told to stop is not done' fails on the code before (done, exited) and passes now. Found by going through the places that read an exit; no user has reported it.

--- a/src/agent/agent-directory.ts
+++ b/src/agent/agent-directory.ts
@@ -13,7 +13,7 @@
   writeSync,
 } from 'node:fs';
 import { join } from 'node:path';
-import type { AgentJob, AgentTask } from '../wire/agent.js';
+import type { AgentJob, AgentTask, ResultReason } from '../wire/agent.js';
 import { claimTask } from './task-files.js';
 
 /** The agent's own persistent state. It is stored, so its field names are part of the storage format. */
@@ -43,6 +43,12 @@
   readonly start?: number;
 }
 
+/** Why a command is being stopped, and when it is killed, as machine uptime, s. It is stored as part of a task's record. */
+export interface Termination {
+  readonly reason: ResultReason;
+  readonly killAtUptimeS: number;
+}
+
 /**
  * The persistent state of a start, from before its command runs until the worker forgets the task: the control service has
  * recorded its end, or the lease has expired. It is stored, so its field names are part of the storage format.
@@ -50,6 +56,8 @@
 export interface TaskRecord extends TaskStart {
   readonly task: AgentTask;
   job: AgentJob | null;
+  /** Missing while the command is not being stopped. */
+  termination?: Termination;
   /** When the task was started, as wall-clock time, ms, and as machine uptime, s, because the wall clock may be adjusted. */
   startedAt: number;
   startedUptimeS: number;
--- a/src/agent/command-runner.ts
+++ b/src/agent/command-runner.ts
@@ -37,8 +37,8 @@
   child: ChildProcess | null;
   /** The PID of the leader of its process group; null if not known yet. */
   pid: number | null;
-  /** Why it is being stopped, and when it is killed (on the monotonic clock, ms); null if it is not being stopped. */
-  termination: { readonly reason: ResultReason; readonly killAt: number; killed: boolean } | null;
+  /** Whether its process group was killed because it is being stopped. */
+  killed: boolean;
   /** Whether the command has exited and its leftover processes are being cleaned up. */
   exited: boolean;
 }
@@ -175,25 +175,27 @@
   }
 
   private track(record: TaskRecord, job: AgentJob): RunningTask {
-    const running = { record, job, child: null, pid: null, termination: null, exited: false };
+    const running = { record, job, child: null, pid: null, killed: false, exited: false };
     this.running.set(record.task, running);
     return running;
   }
 
   private terminate(running: RunningTask, reason: ResultReason, graceS: number): void {
-    const now = performance.now();
-    if (running.termination) {
+    const { record } = running;
+    if (record.termination) {
       // The task is already being stopped: a second stop without a grace period kills it.
       if (graceS <= 0) this.kill(running);
       return;
     }
-    running.termination = { reason, killAt: now + graceS * 1000, killed: false };
+    record.termination = { reason, killAtUptimeS: uptime() + graceS };
     if (graceS <= 0 || running.pid === null) return this.kill(running);
+    // Saved before the signal: the command may exit with code 0 while no agent is running, and is not complete then.
+    this.directory.saveTask(record);
     sendSignal(-running.pid, 'SIGTERM');
   }
 
   private kill(running: RunningTask): void {
-    if (running.termination) running.termination.killed = true;
+    running.killed = true;
     if (running.pid !== null) sendSignal(-running.pid, 'SIGKILL');
     // An adopted task has no exit event.
     if (!running.child) this.onExit(running, null, 'SIGKILL');
@@ -202,7 +204,6 @@
   private enforceLimits(): void {
     if (this.running.size === 0) return;
     const groups = listProcessesByGroup();
-    const now = performance.now();
     for (const running of [...this.running.values()]) {
       if (running.exited) continue;
       const members = running.pid === null ? [] : (groups.get(running.pid) ?? []);
@@ -211,8 +212,9 @@
         continue;
       }
       truncateOutput(this.directory.startDirectory(running.record), this.settings.outputBytes);
-      if (running.termination) {
-        if (now >= running.termination.killAt && !running.termination.killed) this.kill(running);
+      const { termination } = running.record;
+      if (termination) {
+        if (uptime() >= termination.killAtUptimeS && !running.killed) this.kill(running);
         continue;
       }
       const { wallS } = running.job.command ?? { wallS: null };
@@ -239,7 +241,7 @@
     if (running.exited || this.running.get(record.task) !== running) return;
     running.exited = true;
     if (running.pid !== null) sendSignal(-running.pid, 'SIGKILL');
-    const end = commandEnd(this.provenExitCode(record, code), running.termination?.reason ?? null, signal);
+    const end = commandEnd(this.provenExitCode(record, code), record.termination?.reason ?? null, signal);
     this.pendingCleanups.set(running, end);
     this.cleanupTimer ??= setTimeout(() => this.cleanUp(), cleanupDelayMs);
   }
--- a/test/agent-lease.test.ts
+++ b/test/agent-lease.test.ts
@@ -151,3 +151,28 @@
     );
     assert.deepEqual(control.latest?.pieces, []);
   }));
+
+// Guards against a stopped command that counts as done, because it exits with 0 while the agent is being restarted.
+test('lease: a command that exits with 0 because it was told to stop is not done, also if the agent restarts meanwhile', () =>
+  withAgent(longLeaseS, async (fixture) => {
+    const { control } = fixture;
+    const script = `trap 'touch ${fixture.path('told')}; while [ ! -f ${fixture.path('go')} ]; do sleep 0.05; done; exit 0' TERM`;
+    control.jobs.set(
+      'req-1',
+      fixture.job(`${script}; touch ${fixture.path('began')}; while :; do sleep 0.05; done`),
+    );
+    control.respond = startIfMissing;
+    const agent = await fixture.startAgent();
+    await control.waitUntil(() => existsSync(fixture.path('began')));
+    control.respond = (heartbeat) =>
+      listedAttempt(heartbeat)?.status === 'running' ? [{ ...runOrder, verb: 'kill', windDownS: 60 }] : [];
+    await control.waitUntil(() => existsSync(fixture.path('told')));
+    agent.stop();
+    control.respond = noOrders;
+    writeFileSync(fixture.path('go'), '');
+    await control.waitUntil(() => fixture.taskProcesses().length === 0);
+    await fixture.startAgent();
+    const heartbeat = await control.nextHeartbeat((h) => listedAttempt(h)?.status === 'exited');
+    const { cause, result } = listedAttempt(heartbeat)!;
+    assert.deepEqual([cause, result?.reason, result?.exit], ['stopped', 'stopped', 0]);
+  }));
