Agent: nothing is started in a lease that has expired, whichever event comes first

Cause: the lease was checked by a timer alone. The server passes orders to the agent, which alone applies effects; the agent's clock can be given. Evidence: 'orders in a response that is read after the lease has expired are not executed', on a clock of the test's own; it fails if the check before the response is taken out (the code before has no clock to give).

--- a/scale/workers.ts
+++ b/scale/workers.ts
@@ -3,7 +3,7 @@
 import { createServer, type AddressInfo, type Server } from 'node:net';
 import { readJson, sendJson } from '../src/net/json.js';
 import { seededRandom } from '../src/retry/index.js';
-import { parseTaskOrders } from '../src/wire/agent.js';
+import { parseDirectOrders } from '../src/wire/agent.js';
 import { lagMeter, listenToParent, sendToParent } from './child.js';
 import {
   zeroWorkerCounts,
@@ -122,7 +122,7 @@
     const worker = this.byAddress.get(req.socket.localAddress ?? '');
     if (!worker) return void res.destroy();
     if (req.url === '/show') return sendJson(res, 200, worker.buildHeartbeat());
-    const body = parseTaskOrders(await readJson(req, maxBodyBytes));
+    const body = parseDirectOrders(await readJson(req, maxBodyBytes));
     const status = body ? worker.executeOrders(body.token, body.session, body.orders) : 400;
     sendJson(res, status, worker.buildHeartbeat());
   }
--- a/src/agent/agent-lease.ts
+++ b/src/agent/agent-lease.ts
@@ -46,11 +46,10 @@
   }
 
   /**
-   * Returns when the lease on disk was last renewed, on this process's monotonic clock, ms. Without a lease on disk this is
-   * the current time; for a lease of an earlier boot, -Infinity.
+   * Returns when the lease on disk was last renewed, on the monotonic clock of `now`, ms. Without a lease on disk this is `now`;
+   * for a lease of an earlier boot, -Infinity.
    */
-  readLeaseStart(leaseMs: number): number {
-    const now = performance.now();
+  readLeaseStart(leaseMs: number, now: number): number {
     if (!existsSync(this.path)) return now;
     const [validUntilS, boot] = readFileSync(this.path, 'latin1').trim().split(' ');
     if (boot !== this.boot) return -Infinity;
@@ -58,10 +57,9 @@
   }
 
   /** Writes a renewed lease to disk. */
-  renew(leaseStart: number, leaseMs: number): void {
-    const remainingS = (leaseStart + leaseMs - performance.now()) / 1000;
+  renew(remainingMs: number): void {
     const temporaryPath = `${this.path}.part`;
-    writeFileSync(temporaryPath, `${Math.floor(uptime() + remainingS)} ${this.boot}\n`);
+    writeFileSync(temporaryPath, `${Math.floor(uptime() + remainingMs / 1000)} ${this.boot}\n`);
     renameSync(temporaryPath, this.path);
   }
 
--- a/src/agent/agent-server.ts
+++ b/src/agent/agent-server.ts
@@ -4,9 +4,8 @@
 import type { AddressInfo } from 'node:net';
 import { join } from 'node:path';
 import { readJson, sendJson as reply } from '../net/json.js';
-import { encodeAgentReport, parseTaskOrders } from '../wire/agent.js';
+import { encodeAgentReport, parseDirectOrders, type AgentReport, type DirectOrders } from '../wire/agent.js';
 import type { AgentDirectory } from './agent-directory.js';
-import type { Worker, WorkerEffect } from './worker.js';
 
 const maxBodyBytes = 1024 * 1024;
 
@@ -14,12 +13,12 @@
 export interface AgentServerBackend {
   readonly listen: { readonly host: string; readonly port: number };
   readonly directory: AgentDirectory;
-  /** Returns the worker state machine; null before the agent has joined. */
-  worker(): Worker | null;
-  /** Executes the effects of orders. */
-  applyEffects(effects: readonly WorkerEffect[]): void;
-  /** Requests that a heartbeat is sent before the next one is due. */
-  requestHeartbeat(): void;
+  /** Whether the agent has joined a control service. Before that there are neither reports nor orders. */
+  hasJoined(): boolean;
+  /** Builds a report of the current state. */
+  buildReport(): AgentReport;
+  /** Executes orders; returns false if they are for another agent epoch or their fencing token is outdated. */
+  executeOrders(orders: DirectOrders): boolean;
 }
 
 /** The agent's HTTP server. */
@@ -57,24 +56,19 @@
 
   private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const url = new URL(req.url ?? '/', 'http://agent');
-    const worker = this.backend.worker();
-    if (!worker) return reply(res, 503, { error: 'not joined yet' });
+    if (!this.backend.hasJoined()) return reply(res, 503, { error: 'not joined yet' });
     if (req.method === 'GET' && url.pathname === '/show')
-      return reply(res, 200, encodeAgentReport(worker.buildHeartbeat()));
-    if (req.method === 'POST' && url.pathname === '/orders') return this.executeOrders(worker, req, res);
+      return reply(res, 200, encodeAgentReport(this.backend.buildReport()));
+    if (req.method === 'POST' && url.pathname === '/orders') return this.executeOrders(req, res);
     if (req.method === 'GET' && url.pathname === '/output') return this.sendOutput(url.searchParams, res);
     reply(res, 404, { error: 'not found' });
   }
 
-  private async executeOrders(worker: Worker, req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const message = parseTaskOrders(await readJson(req, maxBodyBytes));
-    if (!message || message.token === null || message.session === null)
-      return reply(res, 400, { error: 'baton and tenure are needed' });
-    const effects = worker.onDirectOrders(message.token, message.session, message.orders);
-    if (effects) this.backend.applyEffects(effects);
-    // A message without orders means that the response to the next heartbeat contains news, so the heartbeat is sent now.
-    if (effects && message.orders.length === 0) this.backend.requestHeartbeat();
-    reply(res, effects ? 200 : 409, encodeAgentReport(worker.buildHeartbeat()));
+  private async executeOrders(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const orders = parseDirectOrders(await readJson(req, maxBodyBytes));
+    if (!orders) return reply(res, 400, { error: 'baton and tenure are needed' });
+    const executed = this.backend.executeOrders(orders);
+    reply(res, executed ? 200 : 409, encodeAgentReport(this.backend.buildReport()));
   }
 
   private sendOutput(query: URLSearchParams, res: ServerResponse): void {
--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -10,7 +10,9 @@
   parseJoinResponse,
   succeeded,
   type AgentJob,
+  type AgentReport,
   type AgentTask,
+  type DirectOrders,
   type JoinResponse,
   type TaskResult,
 } from '../wire/agent.js';
@@ -62,6 +64,8 @@
     private readonly settings: AgentSettings,
     private readonly random: Random,
     private readonly log: Log,
+    /** A monotonic clock, ms. */
+    private readonly now: () => number = () => performance.now(),
   ) {
     this.released = new Promise((resolve) => (this.resolveReleased = resolve));
     this.directory = new AgentDirectory(settings.directory);
@@ -91,9 +95,9 @@
     this.server = new AgentServer({
       listen: settings.listen,
       directory: this.directory,
-      worker: () => this.worker,
-      applyEffects: (effects) => this.applyEffects(effects),
-      requestHeartbeat: () => this.requestHeartbeat(),
+      hasJoined: () => this.worker !== null,
+      buildReport: () => this.buildReport(),
+      executeOrders: (orders) => this.executeDirectOrders(orders),
     });
   }
 
@@ -147,11 +151,11 @@
     this.failedAttempts = 0;
     this.timers.add(setInterval(() => this.checkLease(), leaseCheckIntervalMs));
     while (!this.stopped) {
-      const sentAt = performance.now();
+      const sentAt = this.now();
       await this.waitForNextHeartbeat(await this.sendHeartbeat());
       if (this.stopped) return;
       const minGapMs = this.joinTerms!.reportS * 1000 * minHeartbeatGapShare;
-      await this.pause(Math.max(0, minGapMs - (performance.now() - sentAt)));
+      await this.pause(Math.max(0, minGapMs - (this.now() - sentAt)));
       this.heartbeatRequested = false;
     }
   }
@@ -197,13 +201,13 @@
     const { type, zone } = this.settings;
     const machine = { host: terms.host, endpoint: this.server.endpoint, type, zone };
     // The lease on disk kept running while no process of this agent was running.
-    const leaseStart = sameHost ? this.lease.readLeaseStart(leaseMs) : performance.now();
+    const leaseStart = sameHost ? this.lease.readLeaseStart(leaseMs, this.now()) : this.now();
     this.worker = new Worker(machine, this.workerState, leaseMs, leaseStart, tasks);
     this.persistState();
-    this.applyEffects(this.worker.tick(performance.now()));
-    this.lease.renew(this.worker.leaseStart, leaseMs);
+    this.applyEffects(this.worker.tick(this.now()));
     if (sameHost) for (const record of records) this.resumeTask(record);
     this.executor.sweepOrphans();
+    this.renewLease();
     this.log('info', 'joined control service', {
       host: terms.host,
       session: this.workerState.agentEpoch,
@@ -227,7 +231,7 @@
   /** Stops the agent and all of its tasks after the control service has drained or forgotten this machine. */
   private endMembership(reason: string): void {
     this.log('warn', 'membership ended', { why: reason });
-    this.applyEffects(this.worker!.startEpoch(performance.now()));
+    this.applyEffects(this.worker!.startEpoch(this.now()));
     this.executor.sweepOrphans();
     this.record.host = null;
     this.directory.saveAgent(this.record);
@@ -239,19 +243,21 @@
 
   /** Sends one heartbeat and processes its response; returns the delay before the next heartbeat, ms. */
   private async sendHeartbeat(): Promise<number> {
+    this.checkLease();
     const worker = this.worker!;
     const { agentEpoch } = worker;
-    const sentAt = performance.now();
+    const sentAt = this.now();
     const heartbeat = worker.buildHeartbeat();
     if (heartbeat.seq >= this.record.seqFrom) this.persistState();
     const response = await this.controlClient.call('POST', '/checkin', encodeAgentReport(heartbeat));
     if (this.stopped) return 0;
+    this.checkLease();
     const reportMs = this.joinTerms!.reportS * 1000;
     if (response?.status === 200) {
       this.failedAttempts = 0;
       const answer = parseHeartbeatResponse(response.body);
       if (answer) this.applyEffects(worker.onHeartbeatResponse(answer, sentAt, agentEpoch));
-      this.lease.renew(worker.leaseStart, this.joinTerms!.leaseS * 1000);
+      this.renewLease();
       return reportMs * (heartbeatJitter.min + heartbeatJitter.range * this.random());
     }
     if (response?.status === 410) {
@@ -284,8 +290,12 @@
     this.wakeHeartbeatLoop();
   }
 
+  /**
+   * Starts a new epoch if the lease has expired. It is called at intervals, and also before every event that may start a task:
+   * when a suspended process continues, such an event may be handled before the interval's timer.
+   */
   private checkLease(): void {
-    const effects = this.worker!.tick(performance.now());
+    const effects = this.worker!.tick(this.now());
     if (effects.length === 0) return;
     // The watchdog exits when the lease expires, so tasks of the next epoch need a new one.
     this.lease.markExpired();
@@ -293,6 +303,30 @@
     this.executor.sweepOrphans();
   }
 
+  /** Writes the lease of the worker to disk. */
+  private renewLease(): void {
+    const leaseMs = this.joinTerms!.leaseS * 1000;
+    this.lease.renew(this.worker!.leaseStart + leaseMs - this.now());
+  }
+
+  /** Builds a report outside of the heartbeats. */
+  private buildReport(): AgentReport {
+    this.checkLease();
+    return this.worker!.buildHeartbeat();
+  }
+
+  /** Executes orders that were sent outside of heartbeat responses; returns whether they were valid. */
+  private executeDirectOrders({ token, session, orders }: DirectOrders): boolean {
+    if (this.stopped) return false;
+    this.checkLease();
+    const effects = this.worker!.onDirectOrders(token, session, orders);
+    if (!effects) return false;
+    this.applyEffects(effects);
+    // A message without orders means that the response to the next heartbeat contains news, so the heartbeat is sent now.
+    if (orders.length === 0) this.requestHeartbeat();
+    return true;
+  }
+
   private persistState(): void {
     const { agentEpoch: session, fencingToken: token, seq } = this.workerState;
     Object.assign(this.record, { session, token, seqFrom: seq + sequenceBlockSize });
--- a/src/wire/agent.ts
+++ b/src/wire/agent.ts
@@ -93,8 +93,8 @@
   gangs: v.optional(v.nullable(v.array(v.string())), null),
 });
 const directOrders = v.object({
-  baton: v.optional(v.nullable(counter), null),
-  tenure: v.optional(v.nullable(counter), null),
+  baton: counter,
+  tenure: counter,
   orders,
 });
 
@@ -131,14 +131,19 @@
   return typeof boss === 'string' ? boss : null;
 }
 
-/** Reads task orders that were sent directly; null: malformed. */
-export function parseTaskOrders(
-  body: unknown,
-): { token: number | null; session: number | null; orders: TaskOrder[] } | null {
+/** Task orders that are sent outside of heartbeat responses. */
+export interface DirectOrders {
+  token: number;
+  session: number;
+  orders: TaskOrder[];
+}
+
+/** Reads task orders that were sent directly; null: malformed, or without fencing token or agent epoch. */
+export function parseDirectOrders(body: unknown): DirectOrders | null {
   const r = v.safeParse(directOrders, body);
-  return r.success
-    ? { token: r.output.baton, session: r.output.tenure, orders: decodeTaskOrders(r.output.orders) }
-    : null;
+  if (!r.success) return null;
+  const { baton, tenure, orders } = r.output;
+  return { token: baton, session: tenure, orders: decodeTaskOrders(orders) };
 }
 
 const result = v.object({
--- a/test/agent-lease.test.ts
+++ b/test/agent-lease.test.ts
@@ -28,12 +28,12 @@
   static async create(leaseS: number): Promise<AgentFixture> {
     return new AgentFixture(await ScriptedControl.start({ reportS: 0.1, leaseS }));
   }
-  /** Starts the agent. */
-  async startAgent(): Promise<Agent> {
+  /** Starts the agent, whose lease runs on the given clock. */
+  async startAgent(now?: () => number): Promise<Agent> {
     const settings = parseAgentSettings(
       `(agent (name a) (control "${this.control.address}") (directory "${join(this.dir, 'a')}") (cpus 2) (mem-gb 1))`,
     );
-    const agent = new Agent(settings, seededRandom(1), () => undefined);
+    const agent = new Agent(settings, seededRandom(1), () => undefined, now);
     this.agents.push(agent);
     await agent.start();
     return agent;
@@ -152,6 +152,27 @@
     assert.deepEqual(control.latest?.pieces, []);
   }));
 
+// Guards against a start within an expired lease: a suspended agent may read a response before its timers fire.
+test('lease: orders in a response that is read after the lease has expired are not executed', () =>
+  withAgent(longLeaseS, async (fixture) => {
+    const { control } = fixture;
+    control.jobs.set('req-1', fixture.job(`touch ${fixture.path('ran')}; sleep 60`));
+    let clockOffsetMs = 0;
+    let heldHeartbeat: ReportedHeartbeat | null = null;
+    control.holdResponse = async (heartbeat) => {
+      if (control.heartbeats.length !== 3) return;
+      heldHeartbeat = heartbeat;
+      clockOffsetMs = 2 * longLeaseS * 1000;
+      control.respond = (answered) => (answered === heldHeartbeat ? [runOrder] : []);
+    };
+    await fixture.startAgent(() => performance.now() + clockOffsetMs);
+    await control.waitForHeartbeats(10);
+    assert.equal(existsSync(fixture.path('ran')), false, 'a command was started after the lease had expired');
+    assert.deepEqual(control.jobRequests, [], 'an order was executed after the lease had expired');
+    assert.ok(control.latest!.tenure > heldHeartbeat!.tenure);
+    assert.ok(control.heartbeats.every(({ pieces }) => pieces.length === 0));
+  }));
+
 // Guards against a stopped command that counts as done, because it exits with 0 while the agent is being restarted.
 test('lease: a command that exits with 0 because it was told to stop is not done, also if the agent restarts meanwhile', () =>
   withAgent(longLeaseS, async (fixture) => {
