Agent: what a lease end forgets stays forgotten if the agent ends in the middle of it

Cause: the new epoch was written to disk before the tasks of the old one were killed and their records removed. An agent that ended in between took up the records that were left as tasks of the new epoch. The watchdog of an epoch was likewise killed before its successor was started. Change: the epoch is written last: until then the lease on disk has expired, and a restarted agent forgets the rest. The new watchdog is started first. Test: the unit test of the worker asserted the old order of these effects, which was the fault; it asserts the new one, of the same effects.

--- a/src/agent/agent-lease.ts
+++ b/src/agent/agent-lease.ts
@@ -63,19 +63,20 @@
     renameSync(temporaryPath, this.path);
   }
 
-  /** Starts the watchdog unless it is running, and replaces a watchdog of an earlier agent process. */
+  /** Starts the watchdog unless it is running, and replaces a watchdog of an earlier epoch or agent process. */
   startWatchdog(): void {
     if (this.watchdogRunning) return;
-    this.stopWatchdog();
+    // The earlier watchdog is killed last, so that the commands are not left without one if the agent exits in between.
+    const earlier = this.findWatchdogs();
     this.watchdogRunning = true;
-    const mark = this.watchdogMark;
     const child = spawn('/bin/sh', ['-c', watchdogScript, 'dapplepick', this.directory, this.agentId], {
       detached: true,
       stdio: 'ignore',
-      env: { PATH: process.env['PATH'] ?? '/usr/bin:/bin', [markVariable]: mark },
+      env: { PATH: process.env['PATH'] ?? '/usr/bin:/bin', [markVariable]: this.watchdogMark },
     });
     child.on('error', () => undefined);
     child.unref();
+    for (const pid of earlier) sendSignal(pid, 'SIGKILL');
   }
 
   private get watchdogMark(): string {
@@ -90,7 +91,14 @@
   /** Kills the watchdog, also one of an earlier agent process. It is not needed while no command is running. */
   stopWatchdog(): void {
     this.watchdogRunning = false;
-    for (const { pid, mark } of findProcessesByMark(this.watchdogMark))
-      if (mark === this.watchdogMark) sendSignal(pid, 'SIGKILL');
+    for (const pid of this.findWatchdogs()) sendSignal(pid, 'SIGKILL');
+  }
+
+  /** Returns the processes of all watchdogs of this agent's directory. */
+  private findWatchdogs(): number[] {
+    const mark = this.watchdogMark;
+    return findProcessesByMark(mark)
+      .filter((process) => process.mark === mark)
+      .map(({ pid }) => pid);
   }
 }
--- a/src/agent/worker.ts
+++ b/src/agent/worker.ts
@@ -124,14 +124,18 @@
     return this.startEpoch(now);
   }
 
-  /** Starts a new epoch, in which all tasks are killed and forgotten. */
+  /**
+   * Starts a new epoch, in which all tasks are killed and forgotten. The epoch is persisted only after that: an agent that
+   * exits in between finds an expired lease on disk, and forgets the remaining tasks when it is restarted.
+   */
   startEpoch(now: number): WorkerEffect[] {
     this.state.agentEpoch++;
     this.leaseStartMs = now;
-    const effects: WorkerEffect[] = [{ type: 'persist-state' }];
+    const effects: WorkerEffect[] = [];
     for (const task of this.tasksByKey.values())
       effects.push({ type: 'stop', task, graceS: 0 }, { type: 'forget', task });
     this.tasksByKey.clear();
+    effects.push({ type: 'persist-state' });
     return effects;
   }
 
--- a/test/agent.test.ts
+++ b/test/agent.test.ts
@@ -77,7 +77,7 @@
     ['stop'],
   );
   assert.deepEqual(effectTypes(worker.tick(10_100)), []);
-  assert.deepEqual(effectTypes(worker.tick(10_201)), ['persist-state', 'stop', 'forget']);
+  assert.deepEqual(effectTypes(worker.tick(10_201)), ['stop', 'forget', 'persist-state']);
   assert.equal(worker.agentEpoch, 2);
   assert.deepEqual([...worker.tasks], []);
 });
