--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -1,6 +1,5 @@
 /** The agent: a process on a machine that joins a control service, sends heartbeats and runs the tasks assigned to it. */
 import { randomBytes } from 'node:crypto';
-import { readFileSync } from 'node:fs';
 import type { Log } from '../core/effects.js';
 import { backoffDelayMs, type Random, type RetryPolicy } from '../retry/index.js';
 import {
@@ -21,6 +20,8 @@
 import { AgentServer } from './agent-server.js';
 import { ControlClient, responseTimeoutMs } from './control-client.js';
 import { JobDescriptions } from './job-descriptions.js';
+import { architectureName, readBootId } from './machine-identity.js';
+import { Pauses } from './pauses.js';
 import type { AgentSettings } from './settings.js';
 import { TaskExecutor } from './task-executor.js';
 import { TaskPreparations } from './task-preparations.js';
@@ -51,10 +52,7 @@
   private joinTerms: JoinResponse | null = null;
   private workerState: WorkerState = { agentEpoch: 1, seq: 0, fencingToken: 0 };
   private failedAttempts = 0;
-  private heartbeatRequested = false;
-  /** Ends the wait before the next heartbeat. */
-  private wakeHeartbeatLoop: () => void = () => undefined;
-  private readonly timers = new Set<NodeJS.Timeout>();
+  private readonly pauses = new Pauses();
   private stopped = false;
   /** Resolves with the reason when the control service has ended the membership: the machine was drained or forgotten. */
   readonly released: Promise<string>;
@@ -110,23 +108,13 @@
   /** Stops the agent. Its commands keep running, and the next process of this agent adopts them. */
   stop(): void {
     this.stopped = true;
-    for (const timer of this.timers) clearTimeout(timer);
+    this.pauses.close();
     this.preparations.close();
     if (this.executor.idle) this.lease.stopWatchdog();
     this.executor.close();
     this.server.close();
   }
 
-  private pause(ms: number): Promise<void> {
-    return new Promise((resolve) => {
-      const timer = setTimeout(() => {
-        this.timers.delete(timer);
-        resolve();
-      }, ms);
-      this.timers.add(timer);
-    });
-  }
-
   private get retryPolicy(): RetryPolicy {
     const reportMs = (this.joinTerms?.reportS ?? defaultReportS) * 1000;
     return {
@@ -146,17 +134,18 @@
   // ---- membership ----
 
   private async run(): Promise<void> {
-    while (!this.stopped && !(await this.join())) if (!this.stopped) await this.pause(this.nextBackoffMs());
+    while (!this.stopped && !(await this.join()))
+      if (!this.stopped) await this.pauses.wait(this.nextBackoffMs());
     if (this.stopped) return;
     this.failedAttempts = 0;
-    this.timers.add(setInterval(() => this.checkLease(), leaseCheckIntervalMs));
+    this.pauses.repeat(leaseCheckIntervalMs, () => this.checkLease());
     while (!this.stopped) {
       const sentAt = this.now();
-      await this.waitForNextHeartbeat(await this.sendHeartbeat());
+      await this.pauses.waitInterruptibly(await this.sendHeartbeat());
       if (this.stopped) return;
       const minGapMs = this.joinTerms!.reportS * 1000 * minHeartbeatGapShare;
-      await this.pause(Math.max(0, minGapMs - (this.now() - sentAt)));
-      this.heartbeatRequested = false;
+      await this.pauses.wait(Math.max(0, minGapMs - (this.now() - sentAt)));
+      this.pauses.clearInterrupt();
     }
   }
 
@@ -270,26 +259,6 @@
     return this.nextBackoffMs();
   }
 
-  /** Waits for the given time, or until a heartbeat is requested, whichever is first. */
-  private waitForNextHeartbeat(ms: number): Promise<void> {
-    if (this.heartbeatRequested || ms <= 0) return Promise.resolve();
-    return new Promise<void>((resolve) => {
-      const timer = setTimeout(() => this.wakeHeartbeatLoop(), ms);
-      this.timers.add(timer);
-      this.wakeHeartbeatLoop = () => {
-        this.wakeHeartbeatLoop = () => undefined;
-        clearTimeout(timer);
-        this.timers.delete(timer);
-        resolve();
-      };
-    });
-  }
-
-  private requestHeartbeat(): void {
-    this.heartbeatRequested = true;
-    this.wakeHeartbeatLoop();
-  }
-
   /**
    * Starts a new epoch if the lease has expired. It is called at intervals, and also before every event that may start a task:
    * when a suspended process continues, such an event may be handled before the interval's timer.
@@ -323,7 +292,7 @@
     if (!effects) return false;
     this.applyEffects(effects);
     // A message without orders means that the response to the next heartbeat contains news, so the heartbeat is sent now.
-    if (orders.length === 0) this.requestHeartbeat();
+    if (orders.length === 0) this.pauses.interrupt();
     return true;
   }
 
@@ -339,7 +308,7 @@
     for (const effect of effects)
       switch (effect.type) {
         case 'heartbeat-soon':
-          this.requestHeartbeat();
+          this.pauses.interrupt();
           break;
         case 'persist-state':
           this.persistState();
@@ -388,16 +357,3 @@
   token: 0,
   seqFrom: 0,
 });
-
-/** Returns the name of a processor architecture in match expressions. */
-const architectureName = (arch: string): string =>
-  arch === 'x64' ? 'X86_64' : arch === 'arm64' ? 'AARCH64' : arch.toUpperCase();
-
-/** Returns the ID of the machine's current boot. Process IDs and uptimes of another boot are meaningless in this one. */
-function readBootId(): string {
-  try {
-    return readFileSync('/proc/sys/kernel/random/boot_id', 'latin1').trim();
-  } catch {
-    return 'unknown';
-  }
-}
