Control service: a gang task is present for one lease after its machine last listed it

Cause: a waiting task of a machine that vanished stayed present without a limit, so the rest of its gang was told to start without it until the machine was given up. Change: each present task carries the time at which its machine listed it; older ones are removed. Evidence: the new test, on a fake clock, fails without the removal. Found by reading; no run has shown the fault in a cluster.

--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -95,6 +95,8 @@
       pool: this.pool,
       results: this.results,
       ownsShard: () => this.ownsShard,
+      leaseMs: this.settings.leaseS * 1000,
+      now: () => performance.now(),
       drainS: this.settings.drainS,
       jobSpec: (id) => this.jobSpec(id),
       doneTasks: (id) => this.service.controller.replica.taskCounts(id).done,
--- a/src/control/heartbeat-interceptor.ts
+++ b/src/control/heartbeat-interceptor.ts
@@ -15,6 +15,10 @@
   readonly results: ResultStore;
   /** Whether this process believes that it owns the shard. */
   ownsShard(): boolean;
+  /** The lease of the agents, ms. */
+  readonly leaseMs: number;
+  /** A monotonic clock, ms. */
+  now(): number;
   /** How long tasks on a drained machine may keep running, s. */
   readonly drainS: number;
   /** Returns the specification of an unfinished job; null if there is no such job. */
@@ -40,11 +44,17 @@
  * core learns that the attempt has ended, and therefore before any component may discard the result.
  */
 export class HeartbeatInterceptor {
-  private readonly gangs = new GangRendezvous((id) => this.pendingGangTasks(id));
+  private readonly gangs: GangRendezvous;
   /** By host: the complete gang attempts to name in the next response to its agent. */
   private readonly completeGangs = new Map<string, string[]>();
 
-  constructor(private readonly backend: HeartbeatBackend) {}
+  constructor(private readonly backend: HeartbeatBackend) {
+    this.gangs = new GangRendezvous({
+      pendingTasks: (id) => this.pendingGangTasks(id),
+      leaseMs: backend.leaseMs,
+      now: () => backend.now(),
+    });
+  }
 
   /** Processes a heartbeat. `raw` is its body, with the attempt results, which are not part of the core's protocol. */
   async intercept(
--- a/test/attempt-results.test.ts
+++ b/test/attempt-results.test.ts
@@ -1,6 +1,7 @@
 /** Tests what the control service takes as proof that a task is done, on scripted heartbeats. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { GangRendezvous } from '../src/control/gang-rendezvous.js';
 import { HeartbeatInterceptor } from '../src/control/heartbeat-interceptor.js';
 import type { AgentPool } from '../src/control/agent-pool.js';
 import type { ControlStore } from '../src/control/control-store.js';
@@ -30,6 +31,8 @@
     pool: { findOrLoad: async () => member, recordHeartbeat: () => undefined } as unknown as AgentPool,
     results: new ResultStore(store),
     ownsShard: () => true,
+    leaseMs: 1,
+    now: () => 0,
     drainS: 1,
     jobSpec: () => null,
     doneTasks: () => 0,
@@ -57,3 +60,20 @@
   ]);
   assert.deepEqual(await interceptedExitReasons(body), ['done', 'stopped', 'stopped', 'stopped']);
 });
+
+// Guards against a gang that starts without the task of a machine that has vanished, and whose agent has forgotten it.
+test('control: a gang task counts as present only while the lease of its agent can be valid', () => {
+  let now = 0;
+  const rendezvous = new GangRendezvous({ pendingTasks: () => 2, leaseMs: 10_000, now: () => now });
+  const observe = (host: string, index: number): string[] => {
+    const piece = { piece: `req-1/${index}`, try: 7, status: 'waiting' };
+    const heartbeat = parseHeartbeat({ ...heartbeatWith([piece]), host }) as Heartbeat;
+    return rendezvous.observe(heartbeat);
+  };
+  observe('d.1', 0);
+  now = 10_001;
+  assert.deepEqual(observe('d.2', 1), []);
+  now = 20_001;
+  assert.deepEqual(observe('d.1', 0), ['req-1 7']);
+  assert.deepEqual(observe('d.2', 1), ['req-1 7']);
+});
