Agent: a command is stopped also if that cannot be recorded

Cause: since a termination is recorded before the signal, a disk on which nothing can be written kept a cancelled command running, and the error ended the handling of the order. Change: such a failure is logged; the signal is sent all the same.

--- a/src/agent/command-runner.ts
+++ b/src/agent/command-runner.ts
@@ -189,11 +189,23 @@
     }
     record.termination = { reason, killAtUptimeS: uptime() + graceS };
     if (graceS <= 0 || running.pid === null) return this.kill(running);
-    // Saved before the signal: the command may exit with code 0 while no agent is running, and is not complete then.
-    this.directory.saveTask(record);
+    this.recordTermination(record);
     sendSignal(-running.pid, 'SIGTERM');
   }
 
+  /**
+   * Records, before the command is told to stop, that it is being stopped: it may exit with code 0 while no agent is running, and
+   * is not complete then. A disk that is full does not keep it from being stopped.
+   */
+  private recordTermination(record: TaskRecord): void {
+    try {
+      this.directory.saveTask(record);
+    } catch (error) {
+      const piece = taskKey(record.task.job, record.task.index);
+      this.log('warn', 'termination not recorded', { piece, error: String((error as Error).message) });
+    }
+  }
+
   private kill(running: RunningTask): void {
     running.killed = true;
     if (running.pid !== null) sendSignal(-running.pid, 'SIGKILL');
--- a/test/agent.test.ts
+++ b/test/agent.test.ts
@@ -1,7 +1,7 @@
 /** Tests the worker state machine, and the agent on real processes and files: tasks, limits, leases, restarts, settings. */
 import assert from 'node:assert/strict';
 import { spawnSync } from 'node:child_process';
-import { existsSync, mkdtempSync, readFileSync, rmSync, statSync, writeFileSync } from 'node:fs';
+import { existsSync, mkdirSync, mkdtempSync, readFileSync, rmSync, statSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -333,6 +333,22 @@
   assert.deepEqual([existsSync(ranPath), status], [false, 1]);
 });
 
+// Guards against a cancelled command that runs on because its record cannot be written.
+test('runner: a command is stopped also if that cannot be recorded', async (t) => {
+  const fixture = new RunnerFixture();
+  t.after(() => fixture.close());
+  const task = runningTask(0);
+  fixture.runner.start(task, jobRunning('sleep 60'), 'd.1', 'boot');
+  const directory = fixture.agentDirectory.taskDirectory(task);
+  for (let i = 0; i < 400 && !existsSync(join(directory, 'pid')); i++)
+    await new Promise((r) => setTimeout(r, 25));
+  // No file can be created over a directory of the same name.
+  mkdirSync(join(directory, 'task.json.part'));
+  fixture.runner.stop(task, 60);
+  const { reason, signal } = await fixture.waitForEnd(task);
+  assert.deepEqual([reason, signal], ['stopped', 'SIGTERM']);
+});
+
 // Guards against an exit code of 0 that nobody recorded: an empty file read as a number is 0.
 test('runner: an incomplete record of an exit code proves nothing', (t) => {
   const fixture = new RunnerFixture();
