Tests: two starts of one attempt do not share a mark

Cause: the test passed also with one mark for both starts: what the first had left was looked for only after the second had ended. Change: it must be gone while the second is running, which ends only after that and no longer after a time. Result: the test fails with one mark for both starts, and passes as the code is.

--- a/test/agent.test.ts
+++ b/test/agent.test.ts
@@ -303,15 +303,23 @@
   for (let i = 0; i < 400 && !existsSync(leftPidPath); i++) await new Promise((r) => setTimeout(r, 25));
   fixture.runner.forget(forgotten);
   const repeated = runningTask(0);
-  fixture.runner.start(repeated, jobRunning('echo second; sleep 0.3; exit 7'), 'd.1', 'boot');
+  const go = join(fixture.dir, 'go');
+  fixture.runner.start(
+    repeated,
+    jobRunning(`echo second; while [ ! -f ${go} ]; do sleep 0.05; done; exit 7`),
+    'd.1',
+    'boot',
+  );
   fixture.runner.sweepOrphans();
+  // While the second start is running, the processes of the first are killed, and its own are not.
+  const leftPid = Number(readFileSync(leftPidPath, 'utf8'));
+  for (let i = 0; i < 40 && isAlive(leftPid); i++) await new Promise((r) => setTimeout(r, 25));
+  assert.equal(isAlive(leftPid), false, 'a process of the forgotten start is left');
+  writeFileSync(go, '');
   const { exit, reason } = await fixture.waitForEnd(repeated);
   assert.deepEqual([exit, reason], [7, 'exited']);
   assert.equal(fixture.readOutput(repeated), 'second\n');
   assert.equal(fixture.ends.has(forgotten), false, 'the end of a forgotten task was reported');
-  const leftPid = Number(readFileSync(leftPidPath, 'utf8'));
-  for (let i = 0; i < 40 && isAlive(leftPid); i++) await new Promise((r) => setTimeout(r, 25));
-  assert.equal(isAlive(leftPid), false);
   assert.deepEqual(
     fixture.agentDirectory.loadTasks().map(({ start }) => start),
     [2],
