Autoscaler: the leader logs what waiting tasks are expected to run on

A job waits for good while the leader requests nothing for it, and no log line says why: the owner's summary only says that it waits for a machine. The hypotheses (quota, back-off of refused offers, free capacity that the owner does not use, capacity counted on running tasks, no demand computed at all) look the same. Change: the demand calculation counts each waiting task by what it is expected to run on, and the leader logs the counts by class twice per worker lease.

--- a/src/core/autoscaler/autoscaler.ts
+++ b/src/core/autoscaler/autoscaler.ts
@@ -9,6 +9,7 @@
 import type { Replica } from '../replica.js';
 import type { TransactionBatcher } from '../storage/index.js';
 import type { AutoscalerContext } from './context.js';
+import type { DemandReport } from './demand-report.js';
 import { DemandCalculator } from './demand.js';
 import { FleetRecords } from './fleet-records.js';
 import { MachineInventory } from './inventory.js';
@@ -39,6 +40,8 @@
 const initialTypesIntervalMs = 500;
 /** Interval between requests for machine types once they are known, in worker leases. */
 const typesIntervalLeases = 2;
+/** Interval between demand reports in the log, in worker leases. */
+const reportIntervalLeases = 0.5;
 /** Relative price change up to which machine types count as unchanged and are not written. */
 const priceTolerance = 0.01;
 
@@ -60,6 +63,7 @@
   private listingRequestedAt = -Infinity;
   private isListing = false;
   private plannedAt = -Infinity;
+  private reportedAt = -Infinity;
 
   constructor(options: AutoscalerOptions) {
     const { settings, operators, replica, batcher, clock, retry, random, log } = options;
@@ -143,10 +147,20 @@
     const demand = new DemandCalculator(this.context, this.availability);
     const free = this.addFleet(demand);
     const unmet = demand.unmet();
+    this.logDemand(demand.report);
     this.scaleIn.surplus = assignFreeMachines(this.context, this.records, free, unmet);
     this.provisioner.scaleOut(unmet, out);
   }
 
+  /** Logs, at intervals, what the waiting tasks are expected to run on. */
+  private logDemand(report: DemandReport): void {
+    const { clock, log, settings } = this.context;
+    const intervalMs = settings.workers.lease_s * 1000 * reportIntervalLeases;
+    if (report.isEmpty || clock.now - this.reportedAt < intervalMs) return;
+    this.reportedAt = clock.now;
+    log('info', 'demand', { classes: report.classes });
+  }
+
   /** Adds all existing and expected machines to a demand calculation. Returns the machines that have no shard. */
   private addFleet(demand: DemandCalculator): FreeMachine[] {
     const { replica } = this.context;
--- a/src/core/autoscaler/demand.ts
+++ b/src/core/autoscaler/demand.ts
@@ -10,6 +10,7 @@
 import type { VersionedMachine } from '../replica.js';
 import type { JobRecord } from '../storage/index.js';
 import type { AutoscalerContext } from './context.js';
+import { DemandReport } from './demand-report.js';
 import {
   emptyHeadroom,
   poolOf,
@@ -44,6 +45,8 @@
  * order.
  */
 export class DemandCalculator {
+  /** What each waiting task is expected to run on. */
+  readonly report = new DemandReport();
   private readonly pools = new Map<number, MachinePools>();
   private readonly byHost = new Map<string, Headroom>();
   private readonly teamUsage = new Map<string, { cpus: number; gpus: number }>();
@@ -124,6 +127,7 @@
   private unmetOf(job: WaitingJob): UnmetDemand[] {
     const { spec } = job;
     const count = this.allocateQuota(job);
+    this.report.count(spec, 'quota', job.waiting - count);
     if (spec.shape === 'gang' && count < job.waiting) return [];
     const shard = this.context.replica.shardOfTeam(spec.team);
     const unmet: UnmetDemand[] = [];
@@ -154,6 +158,7 @@
     );
     switch (this.failureDecision(job, count, eligible)) {
       case 'wait':
+        this.report.count(spec, 'failing', count);
         return null;
       case 'needs-other-host':
         return { spec, shard, count: spec.shape === 'gang' ? count : 1, zones };
@@ -162,10 +167,14 @@
     }
     let left = count;
     for (const pool of eligible) left -= allocateHeadroom(pool, spec, left, machineTypes);
-    left -= this.allocateFutureHeadroom(job, left, eligible);
+    this.report.count(spec, 'free', count - left);
+    const busy = this.allocateFutureHeadroom(job, left, eligible);
+    this.report.count(spec, 'busy', busy);
+    left -= busy;
     // Not `left <= 0`: the count is NaN if both the slack and the run times are infinite (run times of services are). Such
     // demand counts as met.
     if (!(left > 0)) return null;
+    this.report.count(spec, 'unmet', left);
     if (spec.shape === 'gang') this.reserveEmptiest(spec, shard, eligible, left);
     return { spec, shard, count: left, zones };
   }
