Autoscaler: any unmet demand requests at least one machine

Callers saw: a task of next to no CPUs and memory (0, or less than a millionth of a machine) was accepted and never ran while no machine was up. Cause: the machines for small tasks are added up as fractions, and less than the rounding tolerance was rounded down to none. Change: a request is for at least one machine. Result: the two new tests (0 and 1e-9 CPUs) fail on the code before, and pass.

--- a/src/core/autoscaler/provisioning.ts
+++ b/src/core/autoscaler/provisioning.ts
@@ -89,7 +89,8 @@
   scaleOut(unmet: readonly UnmetDemand[], out: Effect[]): void {
     for (const { offer, shard, machineCount, demand } of this.scaleOuts(unmet)) {
       const { type, zone, spot } = offer;
-      const total = Math.ceil(machineCount - roundingTolerance);
+      // At least one, even if thousands of such tasks fit on a machine.
+      const total = Math.max(1, Math.ceil(machineCount - roundingTolerance));
       for (let left = total; left > 0; left -= maxMachinesPerRequest) {
         if (!this.budget.tryAcquire()) return;
         const count = Math.min(maxMachinesPerRequest, left);
--- a/test/unmet-demand.test.ts
+++ b/test/unmet-demand.test.ts
@@ -73,6 +73,15 @@
   assert.equal(w.workers.size, 1);
 });
 
+// Guards against demand that rounds down to no machine at all, so that accepted tasks of next to no size wait for good.
+for (const cpus of [0, 1e-9])
+  test(`a machine is requested for a task of ${cpus} CPUs`, () => {
+    const w = worldFor(10);
+    submit(w, spec('req-2', { team: 'blue', tasks: 1, cpus, memGb: cpus }));
+    assert.ok(w.advanceUntil(() => w.running('req-2').length === 1, 30));
+    assert.equal(w.workers.size, 1);
+  });
+
 const urgencies = ['production', 'high', 'normal', 'low'] as const;
 const occupantArbitrary = fc.record({
   shape: fc.constantFrom('service' as const, 'array' as const),
