Autoscaler: capacity on machines where a job has failed does not count for it

Callers saw: a job that failed on the only machine with room was tried there again and again, and never ran, while the cloud had machines. Cause: the demand counted the free capacity of that machine, which the scheduling cycle does not use for the job until it starves. Change: neither free nor future capacity of such machines counts; a job that may be faulty waits only for machines that tasks without an end leave room on. The decision is a module of its own.

--- a/src/core/autoscaler/demand.ts
+++ b/src/core/autoscaler/demand.ts
@@ -3,11 +3,11 @@
 import { fitCount, type MachineType } from '../../model/machine.js';
 import { teamQuota } from '../../policy/admission.js';
 import { criticalSlackS, inPlacementOrder } from '../../policy/order.js';
-import { maxStoredFailedHosts, suspectHostCount } from '../failure-attribution.js';
 import type { VersionedMachine } from '../replica.js';
 import type { JobRecord } from '../storage/index.js';
 import type { AutoscalerContext } from './context.js';
 import { DemandReport } from './demand-report.js';
+import { decideAfterFailures, type FailedMachines } from './failure-decision.js';
 import { allocateFutureHeadroom, isOverdue, maxStallS, maxWaitS } from './future-headroom.js';
 import {
   emptyHeadroom,
@@ -15,6 +15,7 @@
   addTask,
   allocateHeadroom,
   type Headroom,
+  type MachineFilter,
   type MachinePool,
   type MachinePools,
 } from './headroom.js';
@@ -190,7 +191,8 @@
     const eligible = [...this.poolsOf(shard).values()].filter(
       (pool) => isEligible(spec, pool) && (zones === null || zones.includes(pool.zone)),
     );
-    switch (this.failureDecision(job, count, eligible)) {
+    const failedMachines = this.failedMachinesOf(job);
+    switch (decideAfterFailures(job, count, failedMachines, eligible)) {
       case 'wait':
         this.report.count(spec, 'failing', count);
         return null;
@@ -199,7 +201,7 @@
       case 'regular':
         break;
     }
-    const capacity = this.allocateExisting(job, count, stallS, eligible);
+    const capacity = this.allocateExisting(job, count, stallS, { eligible, failedMachines });
     this.report.count(spec, 'free', capacity.free);
     this.report.count(spec, 'busy', capacity.busy);
     const left = Math.max(count - capacity.free - capacity.busy, capacity.doubtful);
@@ -218,50 +220,37 @@
     job: WaitingJob,
     count: number,
     stallS: number,
-    eligible: readonly MachinePool[],
+    { eligible, failedMachines }: { eligible: readonly MachinePool[]; failedMachines: FailedMachines },
   ): CountedCapacity {
     const { spec } = job;
     const { replica, clock } = this.context;
     const types = replica.machineTypes;
     let free = 0;
-    const allocate = (rentedSince?: number): void => {
-      for (const pool of eligible) free += allocateHeadroom(pool, spec, count - free, types, rentedSince);
+    const allocate = (filter: MachineFilter | null): void => {
+      for (const pool of eligible) free += allocateHeadroom(pool, spec, count - free, types, filter);
     };
+    const isUsable = failedMachines.size > 0 ? (m: Headroom): boolean => !failedMachines.has(m) : null;
     const stallLimitS = maxStallS(this.context, spec);
     const isStalled = stallS > stallLimitS;
     // Begins anew after each further limit, so that a machine that did not help either is not counted on for ever.
-    if (isStalled) allocate(clock.wall - (stallS % stallLimitS) * 1000);
+    const stalledAt = clock.wall - (stallS % stallLimitS) * 1000;
+    if (isStalled) allocate((m) => m.rentedAt >= stalledAt && !failedMachines.has(m));
     const needed = spec.shape === 'gang' ? count : Math.min(count, 1);
     const doubtful = isStalled ? Math.max(0, needed - free) : 0;
-    allocate();
+    allocate(isUsable);
     let busy = 0;
     const waitS = maxWaitS(this.context, job, isStalled);
     for (const pool of eligible)
-      busy += allocateFutureHeadroom(pool, spec, count - free - busy, waitS, types);
+      busy += allocateFutureHeadroom(pool, spec, count - free - busy, waitS, types, isUsable);
     return { free, busy, doubtful };
   }
 
-  /**
-   * Decides on a job that has failed and has not completed any task. It needs another host if it has failed on all existing
-   * ones. A job that is suspected of being faulty itself gets no machines of its own: it waits for hosts that other jobs need.
-   */
-  private failureDecision(
-    job: WaitingJob,
-    count: number,
-    eligible: readonly MachinePool[],
-  ): 'wait' | 'needs-other-host' | 'regular' {
+  /** The machines on which a job that has not completed any task has failed, which the scheduling cycle does not use for it. */
+  private failedMachinesOf({ id }: WaitingJob): FailedMachines {
     const { replica } = this.context;
-    const failedHosts = replica.chunks.get(job.id)?.get(0)?.failedHosts ?? [];
-    if (failedHosts.length === 0 || replica.taskCounts(job.id).done > 0) return 'regular';
-    const failed = new Set(failedHosts.map((host) => this.byHost.get(host)));
-    let capacity = 0;
-    for (const { machines } of eligible)
-      for (const machine of machines)
-        if (!failed.has(machine)) capacity += fitCount(job.spec, emptyHeadroom(machine.type, 0));
-    // Prevents requests for machines, possibly expensive ones with GPUs, for a job that fails on every host.
-    if (capacity >= (job.spec.shape === 'gang' ? count : 1))
-      return failedHosts.length >= suspectHostCount ? 'wait' : 'regular';
-    return failedHosts.length < maxStoredFailedHosts ? 'needs-other-host' : 'wait';
+    const failedHosts = replica.chunks.get(id)?.get(0)?.failedHosts ?? [];
+    if (failedHosts.length === 0 || replica.taskCounts(id).done > 0) return new Set();
+    return new Set(failedHosts.map((host) => this.byHost.get(host) ?? host));
   }
 
   /** Removes the headroom of the emptiest machines, which the scheduling cycle reserves for a waiting gang. */
--- a/src/core/autoscaler/future-headroom.ts
+++ b/src/core/autoscaler/future-headroom.ts
@@ -17,7 +17,7 @@
 import { mayShareGpuMachine } from '../../policy/gpu-sharing.js';
 import { anchorPrice, imageFetchS, pricePerCpu } from '../../policy/pricing.js';
 import type { AutoscalerContext } from './context.js';
-import { subtract, type MachinePool } from './headroom.js';
+import { subtract, type MachineFilter, type MachinePool } from './headroom.js';
 
 /** A waiting job: its specification, and the wall-clock time at which it was accepted, ms. */
 interface AcceptedJob {
@@ -99,11 +99,13 @@
   maxTasks: number,
   maxWait: number,
   types: readonly MachineType[],
+  filter: MachineFilter | null,
 ): number {
   let allocated = 0;
   const waitS = Math.max(0, maxWait - imageFetchS(spec, pool.type));
   for (const machine of pool.machines) {
     if (allocated >= maxTasks) return allocated;
+    if (filter !== null && !filter(machine)) continue;
     if (
       machine.busy.cpus < spec.cpus ||
       !mayShareGpuMachine(spec, machine.type, machine.type.gpus - machine.gpus, types)
--- a/src/core/autoscaler/headroom.ts
+++ b/src/core/autoscaler/headroom.ts
@@ -11,7 +11,9 @@
   readonly rentedAt: number;
   /** Resources of the running tasks that are expected to end, which become free then. */
   readonly busy: Resources;
-  /** Mean estimated run time of those tasks, s. */
+  /** Resources of the other tasks, such as those of services. */
+  readonly endless: Resources;
+  /** Mean estimated run time of the tasks that are expected to end, s. */
   meanRunS: number;
   /** The number of those tasks. */
   endingTaskCount: number;
@@ -48,6 +50,7 @@
 ): Headroom => ({
   rentedAt,
   busy: { cpus: 0, gpus: 0, memGb: 0 },
+  endless: { cpus: 0, gpus: 0, memGb: 0 },
   meanRunS: 0,
   endingTaskCount: 0,
   taskCount: 0,
@@ -68,12 +71,22 @@
 export function addTask(machine: Headroom, need: Resources, runS: number): void {
   subtract(machine, need, 1);
   machine.taskCount++;
-  if (runS === Infinity) return;
+  if (runS === Infinity) return subtract(machine.endless, need, -1);
   subtract(machine.busy, need, -1);
   machine.meanRunS = (machine.meanRunS * machine.endingTaskCount + runS) / (machine.endingTaskCount + 1);
   machine.endingTaskCount++;
 }
 
+/** How many tasks of a job a machine could take once all tasks that are expected to end have ended. */
+export function drainedFitCount(spec: JobSpec, { type, endless }: Headroom): number {
+  const free: Resources = { cpus: type.cpus, gpus: type.gpus, memGb: type.memGb };
+  subtract(free, endless, 1);
+  return fitCount(spec, free);
+}
+
+/** Selects the machines whose headroom a job may use. */
+export type MachineFilter = (machine: Headroom) => boolean;
+
 /** Whether a job may use empty GPU machines. */
 const mayUseGpuMachines = (spec: JobSpec, types: readonly MachineType[]): boolean =>
   spec.gpus > 0 || !fitsCpuOnlyType(spec, types);
@@ -87,7 +100,7 @@
 }
 
 /**
- * Allocates headroom for up to `maxTasks` tasks of a job, on machines rented at `rentedSince` (wall clock, ms) or later. Returns
+ * Allocates headroom for up to `maxTasks` tasks of a job, on all machines of the pool or on those that a filter selects. Returns
  * the number of tasks that fit.
  */
 export function allocateHeadroom(
@@ -95,20 +108,20 @@
   spec: JobSpec,
   maxTasks: number,
   types: readonly MachineType[],
-  rentedSince = -Infinity,
+  filter: MachineFilter | null,
 ): number {
   let allocated = 0;
   if (maxTasks <= 0 || isExhausted(pool, spec, types)) return 0;
   for (const machine of pool.machines) {
     if (allocated >= maxTasks) return allocated;
-    if (machine.rentedAt < rentedSince) continue;
+    if (filter !== null && !filter(machine)) continue;
     if (!mayShareGpuMachine(spec, machine.type, machine.type.gpus - machine.gpus, types)) continue;
     const count = Math.min(maxTasks - allocated, fitCount(spec, machine));
     if (count <= 0) continue;
     subtract(machine, spec, count);
     allocated += count;
   }
-  if (allocated < maxTasks && rentedSince === -Infinity)
+  if (allocated < maxTasks && filter === null)
     pool.latestUnfit.set(mayUseGpuMachines(spec, types), {
       cpus: spec.cpus,
       gpus: spec.gpus,
--- a/test/unmet-demand.test.ts
+++ b/test/unmet-demand.test.ts
@@ -82,6 +82,23 @@
     assert.equal(w.workers.size, 1);
   });
 
+// Guards against free capacity that counts although it is on a machine where the job failed: the job was tried there for ever.
+test('a job that fails on the only machine with room gets another machine', () => {
+  const w = worldFor(10);
+  submit(w, spec('req-1', { team: 'blue', shape: 'service', tasks: 2, cpus: 5, estimateS: 0 }));
+  assert.ok(w.advanceUntil(() => w.running('req-1').length === 2, 60));
+  // Two machines, each with room for three CPUs; the second one fails every task.
+  const [first, second] = w.workers.values();
+  submit(w, spec('req-10', { team: 'blue', shape: 'service', cpus: 3, tasks: 1, estimateS: 0 }));
+  assert.ok(w.advanceUntil(() => w.running('req-10').length === 1, 30));
+  const faulty = w.running('req-10')[0].host === first.host ? second : first;
+  faulty.failsTasks = true;
+  submit(w, spec('req-2', { team: 'blue', tasks: 1, cpus: 3 }));
+  assert.ok(w.advanceUntil(() => w.finishedTasks.includes('req-2/0'), 60));
+  assert.equal(w.workers.size, 3);
+  assert.deepEqual(w.violations, []);
+});
+
 const urgencies = ['production', 'high', 'normal', 'low'] as const;
 const occupantArbitrary = fc.record({
   shape: fc.constantFrom('service' as const, 'array' as const),
