Autoscaler: tasks are meant only for zones that can take them

Callers saw: nothing reported yet; found by reading where the autoscaler counts on capacity that is not there. A job bound to one zone, or spread over zones, could wait for good in a zone without offers: because of the free CPUs of a GPU machine that it may not use, because another zone had spot machines only, or because half of it was meant for a zone that could not take that many. Cause: the choice of zones counted capacity and offers by other rules than the allocation that follows it. Change: the same rules for GPU machines and spot offers; a zone without offers gets no more tasks than fit there.

--- a/src/core/autoscaler/headroom.ts
+++ b/src/core/autoscaler/headroom.ts
@@ -140,6 +140,7 @@
   let count = 0;
   if (maxTasks <= 0 || isExhausted(pool, spec, types)) return 0;
   for (const machine of pool.machines) {
+    if (!mayShareGpuMachine(spec, machine.type, machine.type.gpus - machine.gpus, types)) continue;
     count += fitCount(spec, machine);
     if (count >= maxTasks) return maxTasks;
   }
--- a/src/core/autoscaler/zone-split.ts
+++ b/src/core/autoscaler/zone-split.ts
@@ -16,7 +16,7 @@
   readonly zone: string;
   /** Number of tasks that fit on existing and expected machines. */
   readonly headroom: number;
-  /** Whether an eligible on-demand offer is available in the zone. */
+  /** Whether an eligible offer is available in the zone. */
   readonly hasOffers: boolean;
 }
 
@@ -64,10 +64,14 @@
   for (const pool of pools.values())
     if (pool.zone === zone && isEligible(spec, pool))
       headroom += countHeadroom(pool, spec, maxTasks - headroom, types);
-  const hasOffers = types.some((type) => {
-    const offer = { type, zone, spot: false };
-    return type.zones.includes(zone) && isEligible(spec, offer) && availability.isAvailable(offer);
-  });
+  const hasOffers = types.some(
+    (type) =>
+      type.zones.includes(zone) &&
+      [false, true].some((spot) => {
+        const offer = { type, zone, spot };
+        return isEligible(spec, offer) && availability.isAvailable(offer);
+      }),
+  );
   return { zone, headroom, hasOffers };
 }
 
@@ -82,7 +86,7 @@
   return capacities[0].zone;
 }
 
-/** Puts half of the tasks into each of two zones, as far as headroom and the maximum number of tasks per zone allow. */
+/** Puts half of the tasks into each of two zones, as far as headroom, offers and the maximum number of tasks per zone allow. */
 function splitApart(
   capacities: ZoneCapacity[],
   placed: ReadonlyMap<string, number>,
@@ -92,9 +96,11 @@
   const groups: ZoneGroup[] = [];
   capacities.sort((a, b) => b.headroom - a.headroom || preferAvailable(a, b));
   let left = count;
-  for (const { zone, headroom } of capacities) {
+  for (const { zone, headroom, hasOffers } of capacities) {
     const allowed = Math.max(0, maxTasksPerZone(spec.tasks) - (placed.get(zone) ?? 0));
-    const size = Math.min(left, allowed, Math.max(Math.min(headroom, left), Math.ceil(count / 2)));
+    // A zone without offers can take no more than fits on its machines.
+    const target = hasOffers ? Math.max(Math.min(headroom, left), Math.ceil(count / 2)) : headroom;
+    const size = Math.min(left, allowed, target);
     if (size > 0) groups.push({ count: size, zones: [zone] });
     left -= size;
   }
