Autoscaler: nothing is requested for a team without a shard

Cause: until the leader knows a team it belongs to no shard (-1); the machines were recorded as that shard's, counted for its jobs from then on, and had no owner who would place tasks on them or return them. Change: such demand waits until the team is assigned, and is reported as such. Result: the new test fails on the code before, and passes.

--- a/src/core/autoscaler/demand-report.ts
+++ b/src/core/autoscaler/demand-report.ts
@@ -2,11 +2,11 @@
 import type { JobSpec } from '../../model/job.js';
 
 /**
- * What a waiting task is expected to run on. `quota`: nothing until its team's quota allows it; `failing`: nothing of its own,
- * since its job is suspected to be faulty; `free`: free capacity of existing and expected machines; `busy`: capacity that
- * running tasks will free; `unmet`: a machine to be requested.
+ * What a waiting task is expected to run on. `quota`: nothing until its team's quota allows it; `unassigned`: nothing until its
+ * team is assigned to a shard; `failing`: nothing of its own, since its job is suspected to be faulty; `free`: free capacity of
+ * existing and expected machines; `busy`: capacity that running tasks will free; `unmet`: a machine to be requested.
  */
-export type DemandSource = 'quota' | 'failing' | 'free' | 'busy' | 'unmet';
+export type DemandSource = 'quota' | 'unassigned' | 'failing' | 'free' | 'busy' | 'unmet';
 
 /** The number of waiting tasks of one class by what they are expected to run on. */
 type ClassDemand = Partial<Record<DemandSource, number>>;
--- a/src/core/autoscaler/demand.ts
+++ b/src/core/autoscaler/demand.ts
@@ -159,8 +159,13 @@
     if (spec.shape === 'gang' && count < job.waiting) return [];
     if (count === 0) return [];
     const { clock, replica } = this.context;
-    const stallS = this.history.stalls.observe(job.id, job.progress, clock.wall) / 1000;
     const shard = replica.shardOfTeam(spec.team);
+    if (shard < 0) {
+      // Nobody would own the machines: the leader has not assigned the team to a shard.
+      this.report.count(spec, 'unassigned', count);
+      return [];
+    }
+    const stallS = this.history.stalls.observe(job.id, job.progress, clock.wall) / 1000;
     const unmet: UnmetDemand[] = [];
     for (const group of splitByZone(this.context, this.availability, job, count, this.poolsOf(shard))) {
       const demand = this.unmetOfGroup(job, group, shard, stallS);
--- a/test/unmet-demand.test.ts
+++ b/test/unmet-demand.test.ts
@@ -99,6 +99,23 @@
   assert.deepEqual(w.violations, []);
 });
 
+// Guards against machines that are requested for a team without a shard: nobody uses, returns or replaces them.
+test('nothing is requested for a team that the leader does not know, and its job runs once a leader knows it', () => {
+  const w = new World(2);
+  w.capacity = 10;
+  w.nodes[1].settings.teams.push({ name: 'green', cpus: 0, cpus_max: 0, gpus: 0, gpus_max: 0 });
+  const [leader, successor] = w.nodes;
+  w.advance(10);
+  assert.equal(leader.controller.replica.leader?.member, leader.member);
+  successor.submit(spec('req-2', { team: 'green' }));
+  w.advance(30);
+  assert.deepEqual(w.rentals, []);
+  leader.alive = false;
+  assert.ok(w.advanceUntil(() => w.finishedTasks.includes('req-2/1'), 90));
+  assert.equal(w.workers.size, 1);
+  assert.deepEqual(w.violations, []);
+});
+
 const urgencies = ['production', 'high', 'normal', 'low'] as const;
 const occupantArbitrary = fc.record({
   shape: fc.constantFrom('service' as const, 'array' as const),
