Scheduling: gangs reserve only capacity that drains

Callers saw: beside services whose machines were reserved for a gang, small jobs waited for 40 s and more for capacity that the gang could not use either, again after each reservation. Cause: a reservation counted the whole machine, also what a service holds there for good; an overdue task counted as ending at once, and two infinite drain times or slacks compared as NaN. Change: services that are not being stopped are left out of what a machine can take once drained; an overdue task is expected to need as long again as it is overdue; comparisons of infinite numbers have a function. No test shows the order of overdue tasks.

--- a/src/core/scheduling/gang-reservations.ts
+++ b/src/core/scheduling/gang-reservations.ts
@@ -9,7 +9,7 @@
 import { waitingTaskCount } from '../shard-state/jobs.js';
 import type { ScheduledJob, ScheduledMachine } from '../shard-state/types.js';
 import { allowsMachine, mayDrain } from './feasibility.js';
-import { reserveMachines, type ShardCycle } from './shard-cycle.js';
+import { drainedFitCount, reserveMachines, type ShardCycle } from './shard-cycle.js';
 
 /** The largest share of the machines usable by a gang that may be reserved. The first gang's reservation is exempt. */
 const maxReservedShare = 0.1;
@@ -23,20 +23,21 @@
 /**
  * Reserves for a gang the machines that will drain soonest, in a single zone if the gang requires it, so that small tasks do
  * not starve the gang. They stay reserved until it is placed: if they were chosen anew in each cycle, no machine would ever
- * drain. Machines are reserved only for the first gangs, since reserved machines are idle while others still drain. For the
- * other gangs, machines are only withheld from jobs of lower urgency; other jobs may use them as they become free.
+ * drain. What services use does not drain, so only the rest of their machines counts. Machines are reserved only for the first
+ * gangs, since reserved machines are idle while others still drain. For the other gangs, machines are only withheld from jobs of
+ * lower urgency; other jobs may use them as they become free.
  */
 export function reserveForGang(job: ScheduledJob, cycle: ShardCycle): void {
   const { spec } = job;
   const reserved = cycle.reservedMachines.get(job.id) ?? [];
-  const reservedSlots = reserved.reduce((slots, machine) => slots + fitCount(spec, machine.type), 0);
+  const reservedSlots = reserved.reduce((slots, m) => slots + drainedFitCount(spec, m, cycle), 0);
   const needed = waitingTaskCount(job) - reservedSlots;
   if (needed <= 0) return;
   const usable = cycle.unreserved.filter((machine) => {
     cycle.capacityIndex.examined++;
-    return mayDrain(cycle, job, machine);
+    return mayDrain(cycle, job, machine) && drainedFitCount(spec, machine, cycle) > 0;
   });
-  const chosen = soonestDrained(job, needed, reserved.at(0)?.zone ?? null, usable);
+  const chosen = soonestDrained(job, needed, reserved.at(0)?.zone ?? null, usable, cycle);
   if (chosen !== null && mayReserve(chosen.length, cycle.shardState.reservations.byHost.size, usable.length))
     reserveMachines(job, cycle, chosen);
   else withholdHosts(job, cycle, needed, usable);
@@ -55,6 +56,7 @@
   needed: number,
   reservedZone: string | null,
   usable: readonly ScheduledMachine[],
+  cycle: ShardCycle,
 ): readonly ScheduledMachine[] | null {
   const byZone = new Map<string | null, { machines: ScheduledMachine[]; slots: number }>();
   for (const machine of usable) {
@@ -63,7 +65,7 @@
     let group = byZone.get(zone);
     if (!group) byZone.set(zone, (group = { machines: [], slots: 0 }));
     group.machines.push(machine);
-    group.slots += fitCount(spec, machine.type);
+    group.slots += drainedFitCount(spec, machine, cycle);
     // Machines come in the order of their drain times, so the first complete zone is the one that drains first.
     if (group.slots >= needed) return group.machines;
   }
@@ -95,7 +97,8 @@
   let gpuMachineBalance = 0;
   for (const { type, host } of cycle.unreserved)
     if (type.gpus > 0) gpuMachineBalance += cycle.withheldHosts.has(host) ? -1 : 1;
-  for (const { type, host } of usable) {
+  for (const machine of usable) {
+    const { type, host } = machine;
     if (missing <= 0) return;
     if (cycle.withheldHosts.has(host)) continue;
     if (type.gpus > 0 && spec.gpus <= 0) {
@@ -103,7 +106,7 @@
       if (gpuMachineBalance < 0) continue;
     }
     cycle.withheldHosts.set(host, urgencyRank[spec.urgency]);
-    missing -= fitCount(spec, type);
+    missing -= drainedFitCount(spec, machine, cycle);
   }
 }
 
--- a/src/core/scheduling/shard-cycle.ts
+++ b/src/core/scheduling/shard-cycle.ts
@@ -1,7 +1,8 @@
 /** The state of a scheduling cycle: what is common to all shards, and the machines of each shard. */
 import type { JobSpec } from '../../model/job.js';
-import { addResources, fits, type Resources, type MachineType } from '../../model/machine.js';
+import { addResources, fitCount, fits, type Resources, type MachineType } from '../../model/machine.js';
 import type { GpuReserve } from '../../policy/gpu-sharing.js';
+import { compareNumbers } from '../../policy/order.js';
 import type { ShardState } from '../shard-state/shard-state.js';
 import type { QuotaReservation } from '../shard-state/team-quotas.js';
 import { freeCapacity, acceptsTasks } from '../shard-state/machines.js';
@@ -36,6 +37,8 @@
   readonly agedCapacity: readonly ScheduledMachine[];
   /** The machines reserved for each waiting job, by job id. */
   readonly reservedMachines: Map<string, readonly ScheduledMachine[]>;
+  /** What services that are not being stopped use on machines that run some, by host. */
+  readonly endlessUsage: ReadonlyMap<string, Resources>;
   /** The types of the machines that accept tasks. */
   readonly machineTypes: ReadonlySet<MachineType>;
   /**
@@ -84,13 +87,14 @@
     minRequest,
   );
   const drainTimes = new Map(unreserved.map((machine) => [machine, drainTimeS(shardState, machine)]));
-  unreserved.sort((a, b) => drainTimes.get(a)! - drainTimes.get(b)!);
+  unreserved.sort((a, b) => compareNumbers(drainTimes.get(a)!, drainTimes.get(b)!));
   return {
     ...context,
     capacityIndex,
     unreserved,
     agedCapacity,
     reservedMachines,
+    endlessUsage: endlessUsageByHost(shardState, shard),
     machineTypes,
     withheldHosts: new Map(),
     quotaReservations: new Map(),
@@ -110,17 +114,47 @@
   return false;
 }
 
-/** The time until all tasks of a machine will have ended, according to their estimates, s. */
+/**
+ * The time until all tasks of a machine will have ended, s; Infinity if a service runs there. Until a task has run for as long as
+ * estimated, it is the rest of that time; afterwards, as much time again as the task has run beyond its estimate.
+ */
 function drainTimeS(shardState: ShardState, machine: ScheduledMachine): number {
   let longestS = 0;
   for (const { job, runningSince } of machine.placements.values()) {
     const ranS = runningSince > 0 ? (shardState.clock.now - runningSince) / 1000 : 0;
-    const remainingS = job.spec.shape === 'service' ? Infinity : job.spec.estimateS - ranS;
+    const remainingS = job.spec.shape === 'service' ? Infinity : Math.abs(job.spec.estimateS - ranS);
     longestS = Math.max(longestS, remainingS, 1);
   }
   return longestS;
 }
 
+/** What services that are not being stopped use on each machine of a shard that runs some. */
+function endlessUsageByHost({ jobs, machines }: ShardState, shard: number): Map<string, Resources> {
+  const usage = new Map<string, Resources>();
+  for (const { spec, placements } of jobs.values()) {
+    if (spec.shape !== 'service') continue;
+    for (const { host, stopRequest } of placements.values()) {
+      if (stopRequest !== null || machines.get(host)?.record.shard !== shard) continue;
+      const used = usage.get(host) ?? { cpus: 0, gpus: 0, memGb: 0 };
+      addResources(used, spec, 1);
+      usage.set(host, used);
+    }
+  }
+  return usage;
+}
+
+/** How many tasks of a job a machine could take once all of its tasks have ended but those of services. */
+export function drainedFitCount(
+  spec: JobSpec,
+  machine: ScheduledMachine,
+  { endlessUsage }: ShardCycle,
+): number {
+  const used = endlessUsage.get(machine.host);
+  if (!used) return fitCount(spec, machine.type);
+  const { cpus, gpus, memGb } = machine.type;
+  return fitCount(spec, { cpus: cpus - used.cpus, gpus: gpus - used.gpus, memGb: memGb - used.memGb });
+}
+
 /** Returns the number of machines examined since the last call, and resets it. */
 export function takeExaminedCount({ capacityIndex }: ShardCycle): number {
   const { examined } = capacityIndex;
--- a/src/policy/order.ts
+++ b/src/policy/order.ts
@@ -40,6 +40,9 @@
   readonly slackS: number;
 }
 
+/** Compares numbers in ascending order, infinite ones too. */
+export const compareNumbers = (a: number, b: number): number => Number(a > b) - Number(a < b);
+
 const trueFirst = (a: boolean, b: boolean): number => Number(b) - Number(a);
 const trueLast = (a: boolean, b: boolean): number => Number(a) - Number(b);
 
@@ -54,8 +57,7 @@
     b.sizeClass - a.sizeClass ||
     (byResponseRatio ? b.responseRatio - a.responseRatio : 0) ||
     a.missedLimits - b.missedLimits ||
-    // NaN (Infinity - Infinity) if neither job has a limit that it can still meet; then the next criterion decides.
-    a.slackS - b.slackS ||
+    compareNumbers(a.slackS, b.slackS) ||
     a.job.acceptedAt - b.job.acceptedAt
   );
 }
--- a/test/reservations.test.ts
+++ b/test/reservations.test.ts
@@ -5,7 +5,7 @@
 import { longWorld } from './support/concurrent-failures.js';
 import { Traffic } from './support/traffic.js';
 import { maxWaitMs, WaitMonitor } from './support/wait-monitor.js';
-import { box } from './support/fixtures.js';
+import { box, spec } from './support/fixtures.js';
 import { type World } from './support/world.js';
 
 /**
@@ -102,3 +102,17 @@
       w.schedule(120_000, () => assert.equal(w.running('req-100').length, 1));
     });
 });
+
+// Guards against machines that stay reserved for a gang although a service on each of them leaves too little capacity for good.
+test('machines whose services leave too little capacity for a gang are not reserved for it', () => {
+  const w = longWorld(1, { capacity: 2 });
+  w.serviceJobs.add('req-1');
+  w.nodes[0].submit(spec('req-1', { team: 'blue', shape: 'service', tasks: 2, cpus: 5, estimateS: 0 }));
+  assert.ok(w.advanceUntil(() => w.running('req-1').length === 2, 60));
+  w.gangs.set('req-2', 2);
+  w.nodes[0].submit(spec('req-2', { team: 'blue', shape: 'gang', tasks: 2, cpus: 8, urgency: 'normal' }));
+  w.advance(5);
+  w.nodes[0].submit(spec('req-3', { team: 'blue', tasks: 2, cpus: 3, urgency: 'low' }));
+  assert.ok(w.advanceUntil(() => w.running('req-3').length === 2, 10));
+  assert.deepEqual(w.violations, []);
+});
