Autoscaler: gangs set aside only machines that drain; a test for machines that take no more tasks

Cause: the demand calculation set aside the emptiest machines for a gang as the scheduling cycle reserves them, those of services included, which the cycle no longer reserves. That a job is not counted for ever on a machine that accepts no tasks (here: faulty, kept by a service) had no test. Change: machines that cannot take a task of the gang once drained are left out.

--- a/src/core/autoscaler/demand.ts
+++ b/src/core/autoscaler/demand.ts
@@ -13,6 +13,7 @@
   emptyHeadroom,
   poolOf,
   addTask,
+  drainedFitCount,
   allocateHeadroom,
   type Headroom,
   type MachineFilter,
@@ -270,8 +271,9 @@
     this.emptiest.set(
       shard,
       this.emptiestOf(shard).filter(({ machine, pool }) => {
-        if (left <= 0 || !eligiblePools.has(pool)) return true;
-        left -= Math.max(1, fitCount(spec, machine.type));
+        const slots = drainedFitCount(spec, machine);
+        if (left <= 0 || slots === 0 || !eligiblePools.has(pool)) return true;
+        left -= slots;
         machine.cpus = 0;
         machine.busy.cpus = 0;
         return false;
--- a/test/unmet-demand.test.ts
+++ b/test/unmet-demand.test.ts
@@ -99,6 +99,19 @@
   assert.deepEqual(w.violations, []);
 });
 
+// Guards against capacity that counts for good on a machine that gets no more tasks, for whatever reason the leader cannot see.
+test('a job gets a machine although a machine that accepts no tasks has room for it', () => {
+  const w = worldFor(10);
+  submit(w, spec('req-1', { team: 'blue', shape: 'service', tasks: 1, estimateS: 0 }));
+  assert.ok(w.advanceUntil(() => w.running('req-1').length === 1, 60));
+  const [machine] = w.nodes[0].controller.shardManager.shardState.machines.values();
+  machine.quarantined = true;
+  submit(w, spec('req-2', { team: 'blue' }));
+  assert.ok(w.advanceUntil(() => w.running('req-2').length === 2, 4 * 16 + 11 + 15));
+  assert.equal(w.workers.size, 2);
+  assert.deepEqual(w.violations, []);
+});
+
 // Guards against machines that are requested for a team without a shard: nobody uses, returns or replaces them.
 test('nothing is requested for a team that the leader does not know, and its job runs once a leader knows it', () => {
   const w = new World(2);
