--- a/test/unmet-demand.test.ts
+++ b/test/unmet-demand.test.ts
@@ -73,6 +73,24 @@
   assert.equal(w.workers.size, 1);
 });
 
+// Guards against capacity that is counted for two jobs, and against ages of tasks that no leader after the first one knows.
+test('capacity that comes free serves one job, another one gets a machine; a new leader notices overdue tasks, too', () => {
+  const w = new World(2);
+  w.capacity = 10;
+  w.advance(10);
+  submit(w, spec('req-2', { team: 'blue', tasks: 2, cpus: 4, memGb: 16, estimateS: 10 }));
+  assert.ok(w.advanceUntil(() => w.running('req-2').length === 2, 60));
+  w.taskDurationOf = (task) => (task.startsWith('req-2') ? Infinity : undefined);
+  for (const id of ['req-3', 'req-4'])
+    submit(w, spec(id, { team: 'blue', tasks: 2, cpus: 4, memGb: 16, estimateS: 60 }));
+  w.advance(10);
+  assert.equal(w.workers.size, 2);
+  w.nodes[0].alive = false;
+  assert.ok(w.advanceUntil(() => w.workers.size === 3 || w.finishedTasks.length === 4, maxWaitS + 20));
+  assert.ok(w.advanceUntil(() => w.finishedTasks.length === 4, maxWaitS));
+  assert.deepEqual(w.violations, []);
+});
+
 // Guards against demand that rounds down to no machine at all, so that accepted tasks of next to no size wait for good.
 for (const cpus of [0, 1e-9])
   test(`a machine is requested for a task of ${cpus} CPUs`, () => {
