--- a/src/core/scheduling/shard-cycle.ts
+++ b/src/core/scheduling/shard-cycle.ts
@@ -115,14 +115,14 @@
 }
 
 /**
- * The time until all tasks of a machine will have ended, s; Infinity if a service runs there. Until a task has run for as long as
- * estimated, it is the rest of that time; afterwards, as much time again as the task has run beyond its estimate.
+ * The time until all tasks of a machine will have ended, according to their estimates, s; Infinity if a service runs there. Overdue
+ * tasks all count as ending next: an order that changed with their ages would withhold other machines in each cycle.
  */
 function drainTimeS(shardState: ShardState, machine: ScheduledMachine): number {
   let longestS = 0;
   for (const { job, runningSince } of machine.placements.values()) {
     const ranS = runningSince > 0 ? (shardState.clock.now - runningSince) / 1000 : 0;
-    const remainingS = job.spec.shape === 'service' ? Infinity : Math.abs(job.spec.estimateS - ranS);
+    const remainingS = job.spec.shape === 'service' ? Infinity : job.spec.estimateS - ranS;
     longestS = Math.max(longestS, remainingS, 1);
   }
   return longestS;
