--- a/src/core/autoscaler/autoscaler.ts
+++ b/src/core/autoscaler/autoscaler.ts
@@ -9,14 +9,17 @@
 import type { Replica } from '../replica.js';
 import type { TransactionBatcher } from '../storage/index.js';
 import type { AutoscalerContext } from './context.js';
-import { DemandCalculator } from './demand.js';
+import type { DemandReport } from './demand-report.js';
+import { DemandCalculator, type DemandHistory } from './demand.js';
 import { FleetRecords } from './fleet-records.js';
 import { MachineInventory } from './inventory.js';
 import { OfferAvailability } from './offers.js';
+import { PlacementAges } from './placement-ages.js';
 import { Provisioner } from './provisioning.js';
 import { CloudRequestBudget } from './request-budget.js';
 import { ScaleIn } from './scale-in.js';
 import { assignFreeMachines, assignPoolMachines, type FreeMachine } from './shard-assignment.js';
+import { StallDetector } from './stall-detector.js';
 
 /** Dependencies of the autoscaler. */
 export interface AutoscalerOptions {
@@ -39,13 +42,15 @@
 const initialTypesIntervalMs = 500;
 /** Interval between requests for machine types once they are known, in worker leases. */
 const typesIntervalLeases = 2;
+/** Interval between demand reports in the log, in worker leases. */
+const reportIntervalLeases = 0.5;
 /** Relative price change up to which machine types count as unchanged and are not written. */
 const priceTolerance = 0.01;
 
 /**
  * Decides which machines to request for which shard, which shard each free machine is assigned to, and which machines to
  * delete; runs on the leader only. The demand is calculated from the replica, which every controller has, so that a new
- * leader needs no state from its predecessor.
+ * leader needs no state from its predecessor; what it observes over time (ages of placements, stalled jobs) starts anew.
  */
 export class Autoscaler {
   private readonly context: AutoscalerContext;
@@ -55,11 +60,16 @@
   private readonly provisioner: Provisioner;
   private readonly scaleIn: ScaleIn;
   private readonly inventory: MachineInventory;
+  private readonly demandHistory: DemandHistory = {
+    ages: new PlacementAges(),
+    stalls: new StallDetector(),
+  };
   private typesRequestedAt = -Infinity;
   private isRequestingTypes = false;
   private listingRequestedAt = -Infinity;
   private isListing = false;
   private plannedAt = -Infinity;
+  private reportedAt = -Infinity;
 
   constructor(options: AutoscalerOptions) {
     const { settings, operators, replica, batcher, clock, retry, random, log } = options;
@@ -87,6 +97,8 @@
     this.provisioner.reset();
     this.scaleIn.reset();
     this.inventory.reset();
+    this.demandHistory.ages.clear();
+    this.demandHistory.stalls.clear();
     this.isListing = false;
     this.isRequestingTypes = false;
     this.listingRequestedAt = -Infinity;
@@ -140,13 +152,23 @@
   /** Runs one planning cycle: assigns free machines to unmet demand, and requests machines for the remaining demand. */
   private plan(out: Effect[]): void {
     if (this.context.settings.pool) return assignPoolMachines(this.context, this.records);
-    const demand = new DemandCalculator(this.context, this.availability);
+    const demand = new DemandCalculator(this.context, this.availability, this.demandHistory);
     const free = this.addFleet(demand);
     const unmet = demand.unmet();
+    this.logDemand(demand.report);
     this.scaleIn.surplus = assignFreeMachines(this.context, this.records, free, unmet);
     this.provisioner.scaleOut(unmet, out);
   }
 
+  /** Logs, at intervals, what the waiting tasks are expected to run on. */
+  private logDemand(report: DemandReport): void {
+    const { clock, log, settings } = this.context;
+    const intervalMs = settings.workers.lease_s * 1000 * reportIntervalLeases;
+    if (report.isEmpty || clock.now - this.reportedAt < intervalMs) return;
+    this.reportedAt = clock.now;
+    log('info', 'demand', { classes: report.classes });
+  }
+
   /** Adds all existing and expected machines to a demand calculation. Returns the machines that have no shard. */
   private addFleet(demand: DemandCalculator): FreeMachine[] {
     const { replica } = this.context;
