Pricing: the time in which a rented machine could start a task is computed in one place

Cause: it stood three times: in the demand calculation, in preemption and in the rule for the GPU reserve, each without the job's zone. Change: soonestStartS; types that are not offered in the job's zone do not count.

--- a/src/core/autoscaler/future-headroom.ts
+++ b/src/core/autoscaler/future-headroom.ts
@@ -12,10 +12,9 @@
  */
 import type { JobSpec } from '../../model/job.js';
 import { fitCount, type MachineType } from '../../model/machine.js';
-import { typeAllowed } from '../../policy/admission.js';
 import { hasNoTimeLimits, slackS, timeLimitsOf } from '../../policy/deadlines.js';
 import { mayShareGpuMachine } from '../../policy/gpu-sharing.js';
-import { anchorPrice, imageFetchS, pricePerCpu } from '../../policy/pricing.js';
+import { anchorPrice, imageFetchS, pricePerCpu, soonestStartS } from '../../policy/pricing.js';
 import type { AutoscalerContext } from './context.js';
 import { subtract, type MachineFilter, type MachinePool } from './headroom.js';
 
@@ -40,21 +39,10 @@
 export const isOverdue = (spec: JobSpec, type: MachineType, ageS: number, leaseS: number): boolean =>
   ageS > overdueFactor * (spec.estimateS + imageFetchS(spec, type)) + overdueGraceLeases * leaseS;
 
-/**
- * The shortest time in which a task of a job could start on a machine requested now, s; Infinity if the cloud offers no machine
- * type for it.
- */
-export function soonestStartS(spec: JobSpec, types: readonly MachineType[]): number {
-  let soonestS = Infinity;
-  for (const type of types)
-    if (typeAllowed(spec, type)) soonestS = Math.min(soonestS, type.bootS + imageFetchS(spec, type));
-  return soonestS;
-}
-
 /**
  * How long the start of a job's last task may be delayed by waiting for running tasks, s. Always finite. Part of the slack is left
- * for image fetches, for run time estimates that are too low, and for other jobs that compete for the same capacity. `isStalled`: whether the
- * job has made no progress for too long.
+ * for image fetches, for run time estimates that are too low, and for other jobs that compete for the same capacity. `isStalled`:
+ * whether the job has made no progress for too long.
  */
 export function maxWaitS(
   { settings, clock, replica }: AutoscalerContext,
--- a/src/core/scheduling/feasibility.ts
+++ b/src/core/scheduling/feasibility.ts
@@ -6,7 +6,13 @@
 import { mayShareGpuMachine, capacityWithoutGpuReserve } from '../../policy/gpu-sharing.js';
 import { spotAllowed } from '../../policy/guardrails.js';
 import { placementScore } from '../../policy/helios.js';
-import { anchorPrice, machineCandidate, imageFetchS, scoreWeights } from '../../policy/pricing.js';
+import {
+  anchorPrice,
+  machineCandidate,
+  imageFetchS,
+  scoreWeights,
+  soonestStartS,
+} from '../../policy/pricing.js';
 import type { MachineMatch } from '../../policy/matching.js';
 import type { ShardState } from '../shard-state/shard-state.js';
 import { acceptsTasks } from '../shard-state/machines.js';
@@ -91,14 +97,11 @@
   const { settings, clock, replica } = cycle.shardState;
   if (!isPremium(spec)) return false;
   if (![...cycle.machineTypes].some((type) => type.gpus <= 0 && typeAllowed(spec, type))) return true;
-  let soonestStartS = Infinity;
-  for (const type of replica.machineTypes)
-    if (type.gpus <= 0 && typeAllowed(spec, type))
-      soonestStartS = Math.min(soonestStartS, type.bootS + imageFetchS(spec, type));
+  const types = replica.machineTypes.filter((type) => type.gpus <= 0);
   const limits = timeLimitsOf(spec, settings.objectives);
   const slack = slackS(limits, (clock.wall - job.acceptedAt) / 1000, spec.estimateS);
   // A job that has missed all of its limits may, too: it must not be worse off than one that can still keep a limit.
-  return slack < soonestStartS || (!hasNoTimeLimits(limits) && !Number.isFinite(slack));
+  return slack < soonestStartS(spec, types) || (!hasNoTimeLimits(limits) && !Number.isFinite(slack));
 }
 
 /** Returns the policy's scoring function for a job, without the tie-breaks between machines of the same type. */
--- a/src/core/scheduling/preemption.ts
+++ b/src/core/scheduling/preemption.ts
@@ -1,9 +1,8 @@
 /** Preemption: frees capacity for jobs that can be served in time neither by free capacity nor by a machine rented now. */
 import type { JobSpec } from '../../model/job.js';
 import { addResources, fits, fitCount } from '../../model/machine.js';
-import { typeAllowed } from '../../policy/admission.js';
 import { timeLimitsOf, slackS } from '../../policy/deadlines.js';
-import { imageFetchS } from '../../policy/pricing.js';
+import { soonestStartS } from '../../policy/pricing.js';
 import { waitingTaskCount } from '../shard-state/jobs.js';
 import { freeCapacity } from '../shard-state/machines.js';
 import type { ShardState } from '../shard-state/shard-state.js';
@@ -51,11 +50,10 @@
   const { spec } = job;
   const ageS = (clock.wall - job.acceptedAt) / 1000;
   const slack = slackS(timeLimitsOf(spec, settings.objectives), ageS, spec.estimateS);
-  const allowedTypes = replica.machineTypes.filter((type) => typeAllowed(spec, type));
-  const bootS = Math.min(...allowedTypes.map((type) => type.bootS + imageFetchS(spec, type)));
-  // A job without a limit that it can still keep waits for twice the boot time before it preempts.
-  const timeLeftS = Number.isFinite(slack) ? slack : 2 * bootS - ageS;
-  return timeLeftS > bootS + 2 * settings.workers.report_s;
+  const rentalS = soonestStartS(spec, replica.machineTypes);
+  // A job without a limit that it can still keep waits for twice the time of a rental before it preempts.
+  const timeLeftS = Number.isFinite(slack) ? slack : 2 * rentalS - ageS;
+  return timeLeftS > rentalS + 2 * settings.workers.report_s;
 }
 
 /** The tasks to preempt on a machine for one task of a job; null if preemption cannot free enough capacity there. */
--- a/src/policy/pricing.ts
+++ b/src/policy/pricing.ts
@@ -55,3 +55,15 @@
 /** The time that a machine of a type takes to fetch a job's image, s. */
 export const imageFetchS = (spec: JobSpec, type: MachineType): number =>
   type.fetchGbPerS > 0 ? spec.imageGb / type.fetchGbPerS : 0;
+
+/**
+ * The shortest time in which a task of a job could start on a machine rented now, s; Infinity if none of the types allows it in
+ * the job's zone.
+ */
+export function soonestStartS(spec: JobSpec, types: readonly MachineType[]): number {
+  let soonestS = Infinity;
+  for (const type of types)
+    if (typeAllowed(spec, type) && (spec.zone === null || type.zones.includes(spec.zone)))
+      soonestS = Math.min(soonestS, type.bootS + imageFetchS(spec, type));
+  return soonestS;
+}
