--- a/src/core/heartbeat-reconciler.ts
+++ b/src/core/heartbeat-reconciler.ts
@@ -113,6 +113,7 @@
     reported: ReportedTasks,
     hasCurrentToken: boolean,
   ): void {
+    const lost: Placement[] = [];
     for (const [key, placement] of [...machine.placements]) {
       if (placement.job.unreadable) continue;
       const status = reported.get(key);
@@ -124,10 +125,12 @@
         if (hasCurrentToken || !exitedIncomplete) this.applyTaskStatus(machine, placement, status);
       } else if (hasCurrentToken) {
         const { startSentWith } = placement;
-        if (startSentWith === null || isNewerHeartbeat(heartbeat, startSentWith))
-          this.handleMissingTask(machine, placement);
+        if (startSentWith !== null && !isNewerHeartbeat(heartbeat, startSentWith)) continue;
+        if (isLostWithMachine(placement)) lost.push(placement);
+        else this.handleMissingTask(machine, placement);
       }
     }
+    this.shardState.removeLostPlacements(lost, 'started task no longer reported');
   }
 
   /** Adds the order that a reported task requires, if any: to stop it, or to forget it. */
@@ -241,14 +244,12 @@
 
   /**
    * Handles an attempt that is proven not to be on the machine: a heartbeat under the current token, and newer than the start order,
-   * does not list it.
+   * does not list it. The worker has not lost it.
    */
   private handleMissingTask(machine: ScheduledMachine, placement: Placement): void {
     const { shardState } = this;
     if (placement.stopRequest || placement.job.cancelled)
       return shardState.removePlacement(placement, 'not on the machine');
-    if (placement.phase !== 'placed')
-      return shardState.removePlacement(placement, 'started task no longer reported', 'lost');
     // The worker has never listed the attempt: its start is sent (again) with this response, unless the machine takes no more tasks.
     const isUnsentFromEarlierOwner = !placement.placedByThisProcess && placement.startSentWith === null;
     if (machine.reclaimAt > 0 || machine.quarantined)
@@ -274,6 +275,10 @@
   }
 }
 
+/** Whether an attempt that is proven not to be on its machine was listed before, and was lost without having been stopped. */
+const isLostWithMachine = ({ job, phase, stopRequest }: Placement): boolean =>
+  phase !== 'placed' && stopRequest === null && !job.cancelled;
+
 function reportedTasks(heartbeat: Heartbeat): Map<string, TaskStatus> {
   const reported = new Map<string, TaskStatus>();
   for (const status of heartbeat.tasks) reported.set(taskKey(status.job, status.index), status);
--- a/src/core/machine-lifecycle.ts
+++ b/src/core/machine-lifecycle.ts
@@ -69,8 +69,7 @@
       host: machine.host,
       silentS: this.silentS(machine),
     });
-    for (const placement of [...machine.placements.values()])
-      this.shardState.removePlacement(placement, 'lease expired', 'lost');
+    this.shardState.removeLostPlacements([...machine.placements.values()], 'lease expired');
   }
 
   /**
--- a/src/core/shard-state/gang-repair.ts
+++ b/src/core/shard-state/gang-repair.ts
@@ -8,23 +8,24 @@
 }
 
 /**
- * Whether a gang that lost a task can continue with the same attempt. It can only if none of its tasks is known to have
+ * Whether a gang that lost tasks can continue with the same attempt. It can only if none of its tasks is known to have
  * started or is being stopped, and if the tasks that already wait for the others will keep waiting until a replacement is
  * ready. If the gang has started without this process having observed it, the remaining tasks notice the loss and exit, and
  * the gang is torn down like any other.
  */
 export function canRepairGang(
   job: ScheduledJob,
-  lost: Placement,
+  lost: readonly Placement[],
   now: number,
   workers: GangWaitSettings,
 ): boolean {
   if (job.cancelled || job.tearingDown || job.finalizing || job.completedCount > 0) return false;
-  if (!isWaitingToStart(lost)) return false;
+  const [{ attempt }] = lost;
+  if (!lost.every((placement) => placement.attempt === attempt && isWaitingToStart(placement))) return false;
   // The replacement must be placed, started with the next heartbeat, and fetch its image.
   const minReadyS = 2 * workers.report_s + longestFetchS(job);
   for (const placement of job.placements.values()) {
-    if (placement.attempt !== lost.attempt || placement.stopRequest !== null) return false;
+    if (placement.attempt !== attempt || placement.stopRequest !== null) return false;
     if (!isWaitingToStart(placement)) return false;
     const { waitingSince } = placement;
     if (waitingSince > 0 && (now - waitingSince) / 1000 + minReadyS > workers.gang_wait_s) return false;
--- a/src/core/shard-state/shard-state.ts
+++ b/src/core/shard-state/shard-state.ts
@@ -11,7 +11,7 @@
 import type { Clock, Log } from '../effects.js';
 import type { VersionedMachine, Replica } from '../replica.js';
 import { type TransactionBatcher, type JobRecord, TaskWriter } from '../storage/index.js';
-import { canRepairGang } from './gang-repair.js';
+import { finishTearDownIfEmpty, GangCoordinator, isUnsent } from './gang-coordinator.js';
 import { chunkOf, isCompleted, createScheduledJob, cancelledJobSpec, waitingTaskCount } from './jobs.js';
 import { createScheduledMachine } from './machines.js';
 import { PlacementLedger } from './placement-ledger.js';
@@ -84,6 +84,7 @@
   readonly taskWriter: TaskWriter;
   private readonly quotas: TeamQuotas;
   private readonly ledger: PlacementLedger;
+  private readonly gangs: GangCoordinator;
   /** Placements on machines without a record, and when the leases of their workers have certainly expired, ms. */
   private readonly expiringPlacements = new Map<Placement, number>();
   /** Called for a reported task without a known placement, with its key, its attempt and the last attempt number known. */
@@ -120,6 +121,16 @@
     this.quotas = new TeamQuotas(settings);
     const { jobs, machines, quotas } = this;
     this.ledger = new PlacementLedger({ jobs, machines, quotas, replica, clock });
+    this.gangs = new GangCoordinator({
+      clock,
+      workers: settings.workers,
+      log,
+      requestStop: (placement, graceS) => this.requestStop(placement, graceS),
+      removeUnsent: (placement) => {
+        this.detachPlacement(placement, 'gang torn down');
+        requeueTask(placement);
+      },
+    });
     const maxInlineTasks = Math.max(1, Math.floor(this.tasksPerChunk * maxInlineTaskShare));
     const taskLog = { enabled: operators['task-log'] > 0, maxAgeMs: leaseMs * operators['task-log-leases'] };
     this.taskWriter = new TaskWriter(settings, replica, batcher, clock, log, this, maxInlineTasks, taskLog);
@@ -214,7 +225,7 @@
         if (job.cancelled) this.requestStop(placement, 0);
         this.scheduleExpiryIfMachineUnknown(placement);
       }
-    if (spec.shape === 'gang' && job.placements.size > 0) this.checkGang(job);
+    if (spec.shape === 'gang') this.gangs.handleLoaded(job);
     this.finalizeIfCompleted(job);
     this.finishCancellation(job);
   }
@@ -309,10 +320,9 @@
     }
     if (!record) {
       // The record is deleted only after the cloud has confirmed the deletion of the machine, so everything on it is gone.
-      const placements = [...(machine?.placements.values() ?? [])];
-      for (const placement of placements) this.removePlacement(placement, 'machine deleted', 'lost');
-      for (const placement of this.ledger.takePlacementsOnUnknownHost(host))
-        this.removePlacement(placement, 'machine deleted', 'lost');
+      const placements = machine?.placements.values() ?? [];
+      const onUnknownHost = this.ledger.takePlacementsOnUnknownHost(host);
+      this.removeLostPlacements([...placements, ...onUnknownHost], 'machine deleted');
     }
     this.machines.delete(host);
   }
@@ -365,22 +375,46 @@
 
   /** Removes a placement whose attempt is proven to be gone or over, and queues the write of the change. */
   removePlacement(placement: Placement, why: string, outcome: PlacementOutcome = 'requeue'): void {
-    const { job, chunk, index } = placement;
-    if (job.placements.get(index) !== placement) return;
+    if (!this.isPlaced(placement)) return;
+    const { job } = placement;
+    this.detachPlacement(placement, why);
+    if (outcome === 'completed') this.completeTask(placement);
+    else if (!job.cancelled) {
+      requeueTask(placement);
+      if (job.spec.shape === 'gang') this.gangs.handleTaskEnd(job, placement);
+    }
+    this.finishCancellation(job);
+  }
+
+  /** Removes placements that were lost with their machine, and queues the write of the change. */
+  removeLostPlacements(placements: readonly Placement[], why: string): void {
+    const lostByJob = new Map<ScheduledJob, Placement[]>();
+    for (const placement of placements) {
+      if (!this.isPlaced(placement)) continue;
+      this.detachPlacement(placement, why);
+      if (!placement.job.cancelled) requeueTask(placement);
+      const lostOfJob = lostByJob.get(placement.job);
+      if (lostOfJob) lostOfJob.push(placement);
+      else lostByJob.set(placement.job, [placement]);
+    }
+    for (const [job, lost] of lostByJob) {
+      if (!job.cancelled && job.spec.shape === 'gang') this.gangs.handleLostTasks(job, lost);
+      this.finishCancellation(job);
+    }
+  }
+
+  private isPlaced(placement: Placement): boolean {
+    return placement.job.placements.get(placement.index) === placement;
+  }
+
+  /** Removes a placement, and queues the write of the change. What follows for its task and job is left to the caller. */
+  private detachPlacement(placement: Placement, why: string): void {
+    const { job, chunk, index, attempt, host } = placement;
     this.ledger.remove(placement);
     if (job.placements.size === 0) job.unplacedSince = this.clock.wall;
     chunk.version++;
     this.taskWriter.noteTermination(job, chunk);
-    const { attempt, host } = placement;
     this.log('debug', 'placement removed', { piece: taskKey(job.id, index), attempt, host, why });
-    if (outcome === 'completed') this.completeTask(placement);
-    else if (!job.cancelled) {
-      // Only tasks below `nextUnplaced` are requeued. The others are found from there on, and would be handed out twice in one
-      // cycle. After a failover, `nextUnplaced` starts at 0 again.
-      if (index < job.nextUnplaced) job.requeued.add(index);
-      if (job.spec.shape === 'gang') this.checkGang(job, placement, outcome === 'lost');
-    }
-    this.finishCancellation(job);
   }
 
   private completeTask({ job, chunk, index }: Placement): void {
@@ -390,7 +424,7 @@
     }
     this.finalizeIfCompleted(job);
     // If a gang was being torn down when its last placed task completed, its remaining tasks would otherwise never be placed.
-    if (job.placements.size === 0) endTearDown(job);
+    finishTearDownIfEmpty(job);
   }
 
   private finalizeIfCompleted(job: ScheduledJob): void {
@@ -404,38 +438,11 @@
     this.taskWriter.deleteTaskRecords(job);
   }
 
-  // ---- gangs and stops ----
-
-  /**
-   * Repairs or tears down a gang that lacks some of its tasks. If a task was lost with its machine while all tasks still waited
-   * to start, it is replaced within the same attempt. Otherwise the attempt cannot continue: it is torn down, and then the
-   * whole gang is placed again.
-   */
-  private checkGang(job: ScheduledJob, lost?: Placement, lostWithMachine = false): void {
-    const missing = job.spec.tasks - job.completedCount - job.placements.size;
-    if (missing > 0 && job.placements.size > 0) {
-      if (lost && lostWithMachine && canRepairGang(job, lost, this.clock.now, this.settings.workers)) {
-        if (job.repairAttempt === null) this.log('info', 'gang repaired', { job: job.id, lost: lost.index });
-        job.repairAttempt = lost.attempt;
-        return;
-      }
-      if (!job.tearingDown) this.log('info', 'gang torn down', { job: job.id, lost: lost?.index });
-      this.tearDown(job, 0);
-      for (const placement of [...job.placements.values()])
-        if (isUnsent(placement)) this.removePlacement(placement, 'gang torn down');
-    }
-    if (job.placements.size === 0) endTearDown(job);
-  }
+  // ---- stops ----
 
   /** Stops a whole gang gracefully: all tasks are stopped at about the same time, with time to save their state. */
   stopGang(job: ScheduledJob): void {
-    this.tearDown(job, job.spec.saveS);
-  }
-
-  private tearDown(job: ScheduledJob, graceS: number): void {
-    job.tearingDown = true;
-    job.repairAttempt = null;
-    for (const placement of job.placements.values()) this.requestStop(placement, graceS);
+    this.gangs.stop(job);
   }
 
   /** Requests that a task stops, with `graceS` seconds to save its state. An earlier request remains in force. */
@@ -446,12 +453,10 @@
   }
 }
 
-/** Whether no worker can have received the start command of a placement. */
-const isUnsent = ({ placedByThisProcess, startSentWith }: Placement): boolean =>
-  placedByThisProcess && startSentWith === null;
-
-/** Marks the tear-down of a gang as finished: no task of the attempt is left, so the gang may be placed again. */
-function endTearDown(job: ScheduledJob): void {
-  job.tearingDown = false;
-  job.repairAttempt = null;
+/**
+ * Lets the task of a removed placement wait again. Only tasks below `nextUnplaced` are requeued: the others are found from there
+ * on, and would be handed out twice in one cycle. After a failover, `nextUnplaced` starts at 0 again.
+ */
+function requeueTask({ job, index }: Placement): void {
+  if (index < job.nextUnplaced) job.requeued.add(index);
 }
--- a/src/core/shard-state/types.ts
+++ b/src/core/shard-state/types.ts
@@ -22,9 +22,9 @@
 
 /**
  * Why a placement is removed. `completed`: its task completed. `requeue`: the attempt ended or never ran, and the task waits
- * to be placed again. `lost`: the attempt was lost with its machine, and the task waits to be placed again.
+ * to be placed again.
  */
-export type PlacementOutcome = 'completed' | 'requeue' | 'lost';
+export type PlacementOutcome = 'completed' | 'requeue';
 
 /** A request to stop a task. */
 export interface StopRequest {
