--- a/src/core/shard-state/jobs.ts
+++ b/src/core/shard-state/jobs.ts
@@ -27,6 +27,7 @@
     modRevision: record.modRevision,
     cancelled: record.state !== 'open',
     chunks: [],
+    chunksAwaitingDurability: new Set(),
     tasksPerChunk,
     placements: new Map(),
     nextUnplaced: 0,
@@ -80,6 +81,15 @@
 export const waitingTaskCount = (job: ScheduledJob): number =>
   job.spec.tasks - job.completedCount - job.placements.size;
 
+/** Whether all placements of a job are durable. Each chunk is checked until its newest placement is, and then no more. */
+export function areAllPlacementsDurable({ chunksAwaitingDurability }: ScheduledJob): boolean {
+  for (const chunk of chunksAwaitingDurability) {
+    if (chunk.durableVersion < chunk.lastPlacementVersion) return false;
+    chunksAwaitingDurability.delete(chunk);
+  }
+  return true;
+}
+
 /** Removes and returns the index of the next task that waits to be placed; -1: there is none. */
 export function takeNextWaiting(job: ScheduledJob): number {
   const isWaiting = (index: number): boolean => !job.placements.has(index) && !isCompleted(job, index);
--- a/src/core/shard-state/shard-state.ts
+++ b/src/core/shard-state/shard-state.ts
@@ -12,7 +12,14 @@
 import type { VersionedMachine, Replica } from '../replica.js';
 import { type TransactionBatcher, type JobRecord, TaskWriter } from '../storage/index.js';
 import { finishTearDownIfEmpty, GangCoordinator, isUnsent } from './gang-coordinator.js';
-import { chunkOf, isCompleted, createScheduledJob, cancelledJobSpec, waitingTaskCount } from './jobs.js';
+import {
+  areAllPlacementsDurable,
+  chunkOf,
+  isCompleted,
+  createScheduledJob,
+  cancelledJobSpec,
+  waitingTaskCount,
+} from './jobs.js';
 import { createScheduledMachine } from './machines.js';
 import { PlacementLedger } from './placement-ledger.js';
 import { Reservations } from './reservations.js';
@@ -344,17 +351,17 @@
    */
   mayStart({ job, chunk, chunkVersion }: Placement): boolean {
     if (job.cancelled || job.finalizing || job.unreadable || !this.mayStartTasks()) return false;
-    if (job.spec.shape !== 'gang') return chunk.durableVersion >= chunkVersion;
-    for (const member of job.placements.values())
-      if (member.chunk.durableVersion < member.chunkVersion) return false;
-    return true;
+    return job.spec.shape === 'gang' ? areAllPlacementsDurable(job) : chunk.durableVersion >= chunkVersion;
   }
 
   /** Places tasks of one job together. They are started once their placements are durable; see `mayStart`. */
   placeTasks(job: ScheduledJob, assignments: readonly TaskAssignment[], attempt?: number): void {
     this.placementCount += assignments.length;
     const chunks = new Set(assignments.map(({ index }) => chunkOf(job, index)));
-    for (const chunk of chunks) chunk.lastPlacementVersion = ++chunk.version;
+    for (const chunk of chunks) {
+      chunk.lastPlacementVersion = ++chunk.version;
+      job.chunksAwaitingDurability.add(chunk);
+    }
     for (const { index, host } of assignments) {
       if (job.placements.has(index)) {
         this.log('error', 'duplicate placement', { piece: taskKey(job.id, index) });
--- a/src/core/shard-state/types.ts
+++ b/src/core/shard-state/types.ts
@@ -97,6 +97,8 @@
   modRevision: number;
   cancelled: boolean;
   readonly chunks: TaskChunk[];
+  /** Chunks to which this process has added placements that may not be durable yet. */
+  readonly chunksAwaitingDurability: Set<TaskChunk>;
   /** The number of tasks in every chunk but the last, which may have fewer. */
   readonly tasksPerChunk: number;
   /** The current placements, by task index. */
--- a/test/large-jobs.test.ts
+++ b/test/large-jobs.test.ts
@@ -166,6 +166,23 @@
     },
     run: (placed) => placed.machines.forEach((machine) => placed.report(machine, [], 30)),
   },
+  {
+    title: 'the tasks of a gang are started',
+    spec: gang,
+    run: startEverywhere,
+  },
+  {
+    title: 'machines ask for tasks of a gang whose placements are not durable',
+    spec: gang,
+    isDurable: false,
+    run: (placed) => {
+      const { heartbeatReconciler } = placed.node.controller.shardManager;
+      for (const machine of placed.machines) {
+        placed.report(machine, []);
+        heartbeatReconciler.hasStartsAwaitingDurability(machine);
+      }
+    },
+  },
   {
     title: 'a running job is cancelled',
     spec: {},
