--- a/test/large-jobs.test.ts
+++ b/test/large-jobs.test.ts
@@ -4,6 +4,7 @@
 import type { TaskOrder, TaskStatus } from '../src/model/heartbeat.js';
 import type { JobSpec } from '../src/model/job.js';
 import type { ScheduledJob, ScheduledMachine } from '../src/core/shard-state/types.js';
+import { chunkStateOf } from '../src/core/storage/chunk-state.js';
 import { box, spec } from './support/fixtures.js';
 import { countVisits } from './support/iteration-counter.js';
 import { World } from './support/world.js';
@@ -183,6 +184,11 @@
       }
     },
   },
+  {
+    title: 'the placements of a job are encoded',
+    spec: {},
+    run: ({ job }) => job.chunks.forEach((chunk) => chunkStateOf(job, chunk)),
+  },
   {
     title: 'a running job is cancelled',
     spec: {},
