--- a/src/core/shard-state/placement-ledger.ts
+++ b/src/core/shard-state/placement-ledger.ts
@@ -54,11 +54,7 @@
     };
     job.placements.set(index, placement);
     if (machine) machine.placements.set(taskKey(job.id, index), placement);
-    else
-      this.placementsOnUnknownHosts.set(host, [
-        ...(this.placementsOnUnknownHosts.get(host) ?? []),
-        placement,
-      ]);
+    else this.addOnUnknownHost(placement);
     this.updateCounts(placement, 1);
     return placement;
   }
@@ -87,6 +83,12 @@
     return placements.filter((placement) => this.isCurrent(placement));
   }
 
+  private addOnUnknownHost(placement: Placement): void {
+    const onHost = this.placementsOnUnknownHosts.get(placement.host);
+    if (onHost) onHost.push(placement);
+    else this.placementsOnUnknownHosts.set(placement.host, [placement]);
+  }
+
   private removeFromMachine(placement: Placement): void {
     const machine = this.context.machines.get(placement.host);
     machine?.placements.delete(taskKey(placement.job.id, placement.index));
--- a/test/large-jobs.test.ts
+++ b/test/large-jobs.test.ts
@@ -215,6 +215,17 @@
     prepare: startEverywhere,
     run: reportEverywhere({ phase: 'exited', exitReason: 'done' }),
   },
+  {
+    title: 'a job is loaded whose machines have no records yet',
+    spec: {},
+    prepare: (placed) => {
+      for (const host of [...placed.shardState.machines.keys()]) {
+        placed.shardState.machines.delete(host);
+        placed.node.controller.replica.machines.delete(host);
+      }
+    },
+    run: (placed) => placed.shardState.reloadJob('req-1'),
+  },
 ];
 
 const smallSize = 1000;
