--- a/src/core/shard-state/jobs.ts
+++ b/src/core/shard-state/jobs.ts
@@ -1,7 +1,7 @@
 /** Scheduled jobs: built from their stored records, and the queue of their tasks that wait for placement. */
 import type { JobSpec } from '../../model/job.js';
 import { BitSet, type ChunkRecord, type JobRecord, type JobUsage } from '../storage/index.js';
-import type { TaskChunk, ScheduledJob } from './types.js';
+import type { Placement, TaskChunk, ScheduledJob } from './types.js';
 
 /** What a scheduled job is built from, in addition to its record. */
 interface JobContext {
@@ -77,6 +77,10 @@
   return chunk.completed.has(index - chunk.firstTask);
 }
 
+/** Whether a placement is the current one of its task. */
+export const isPlaced = (placement: Placement): boolean =>
+  placement.job.placements.get(placement.index) === placement;
+
 /** How many tasks of a job wait to be placed. */
 export const waitingTaskCount = (job: ScheduledJob): number =>
   job.spec.tasks - job.completedCount - job.placements.size;
--- a/src/core/shard-state/placement-ledger.ts
+++ b/src/core/shard-state/placement-ledger.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '../effects.js';
 import type { Replica } from '../replica.js';
 import type { PlacementRecord } from '../storage/index.js';
+import { isPlaced } from './jobs.js';
 import type { TeamQuotas } from './team-quotas.js';
 import type { Placement, ScheduledJob, ScheduledMachine, TaskChunk } from './types.js';
 
@@ -72,8 +73,8 @@
 
   /** Whether a placement has not been removed and this process still handles its job. */
   isCurrent(placement: Placement): boolean {
-    const { job, index } = placement;
-    return job.placements.get(index) === placement && this.context.jobs.get(job.id) === job;
+    const { job } = placement;
+    return isPlaced(placement) && this.context.jobs.get(job.id) === job;
   }
 
   /** Forgets the placements on an unknown host that has become known or is gone, and returns those that are still current. */
--- a/src/core/shard-state/shard-state.ts
+++ b/src/core/shard-state/shard-state.ts
@@ -16,12 +16,14 @@
   areAllPlacementsDurable,
   chunkOf,
   isCompleted,
+  isPlaced,
   createScheduledJob,
   cancelledJobSpec,
   waitingTaskCount,
 } from './jobs.js';
 import { createScheduledMachine } from './machines.js';
 import { PlacementLedger } from './placement-ledger.js';
+import { PlacementsByHost } from './placements-by-host.js';
 import { Reservations } from './reservations.js';
 import { TeamQuotas, type QuotaReservation } from './team-quotas.js';
 import type { Placement, PlacementOutcome, ScheduledJob, ScheduledMachine, TaskAssignment } from './types.js';
@@ -77,7 +79,7 @@
   readonly machines = new Map<string, ScheduledMachine>();
   readonly ownedShards = new Set<number>();
   /** Placements with a stop request that has not been sent to the worker yet. */
-  readonly unsentStops = new Set<Placement>();
+  readonly unsentStops = new PlacementsByHost();
   /** In a pool: placements whose machines are asked for a heartbeat as soon as the placement may start. */
   readonly unsentStarts = new Set<Placement>();
   /**
@@ -268,6 +270,7 @@
     const job = this.jobs.get(id);
     if (!job) return;
     this.ledger.removeAll(job);
+    for (const placement of job.placements.values()) this.unsentStops.delete(placement);
     this.jobs.delete(id);
   }
 
@@ -382,7 +385,7 @@
 
   /** Removes a placement whose attempt is proven to be gone or over, and queues the write of the change. */
   removePlacement(placement: Placement, why: string, outcome: PlacementOutcome = 'requeue'): void {
-    if (!this.isPlaced(placement)) return;
+    if (!isPlaced(placement)) return;
     const { job } = placement;
     this.detachPlacement(placement, why);
     if (outcome === 'completed') this.completeTask(placement);
@@ -397,7 +400,7 @@
   removeLostPlacements(placements: readonly Placement[], why: string): void {
     const lostByJob = new Map<ScheduledJob, Placement[]>();
     for (const placement of placements) {
-      if (!this.isPlaced(placement)) continue;
+      if (!isPlaced(placement)) continue;
       this.detachPlacement(placement, why);
       if (!placement.job.cancelled) requeueTask(placement);
       const lostOfJob = lostByJob.get(placement.job);
@@ -410,14 +413,11 @@
     }
   }
 
-  private isPlaced(placement: Placement): boolean {
-    return placement.job.placements.get(placement.index) === placement;
-  }
-
   /** Removes a placement, and queues the write of the change. What follows for its task and job is left to the caller. */
   private detachPlacement(placement: Placement, why: string): void {
     const { job, chunk, index, attempt, host } = placement;
     this.ledger.remove(placement);
+    this.unsentStops.delete(placement);
     if (job.placements.size === 0) job.unplacedSince = this.clock.wall;
     chunk.version++;
     this.taskWriter.noteTermination(job, chunk);
@@ -454,7 +454,7 @@
 
   /** Requests that a task stops, with `graceS` seconds to save its state. An earlier request remains in force. */
   requestStop(placement: Placement, graceS: number): void {
-    if (placement.stopRequest !== null || placement.job.unreadable) return;
+    if (placement.stopRequest !== null || placement.job.unreadable || !isPlaced(placement)) return;
     placement.stopRequest = { graceS, since: this.clock.now };
     this.unsentStops.add(placement);
   }
--- a/src/core/task-orders.ts
+++ b/src/core/task-orders.ts
@@ -1,6 +1,7 @@
 /** Creates orders for workers, and sends those that do not wait for a heartbeat. */
 import type { TaskOrder } from '../model/heartbeat.js';
 import type { Effect } from './effects.js';
+import { isPlaced } from './shard-state/jobs.js';
 import type { ShardState } from './shard-state/shard-state.js';
 import type { Placement, ScheduledMachine, StopRequest } from './shard-state/types.js';
 
@@ -21,25 +22,19 @@
  * resources, and the tasks of a gang must receive a graceful stop at about the same time.
  */
 export function sendStops({ unsentStops, machines }: ShardState, out: Effect[]): void {
-  if (unsentStops.size === 0) return;
-  const ordersByMachine = new Map<ScheduledMachine, TaskOrder[]>();
-  for (const placement of unsentStops) {
-    const { stopRequest } = placement;
-    if (!isPlaced(placement) || stopRequest === null) {
+  for (const [host, placements] of unsentStops.entries()) {
+    const machine = machines.get(host);
+    if (!machine || !isReachable(machine)) continue;
+    const orders: TaskOrder[] = [];
+    for (const placement of placements) {
+      if (orders.length >= maxOrdersPerMessage) break;
+      const { stopRequest } = placement;
+      if (stopRequest === null || placement.job.unreadable || isNeitherSentNorListed(placement)) continue;
       unsentStops.delete(placement);
-      continue;
+      orders.push(stopOrder(placement, stopRequest));
     }
-    if (placement.job.unreadable) continue;
-    const machine = machines.get(placement.host);
-    const isUnsent = placement.startSentWith === null && placement.phase === 'placed';
-    if (!machine || !isReachable(machine) || isUnsent) continue;
-    const orders = ordersByMachine.get(machine) ?? [];
-    if (orders.length >= maxOrdersPerMessage) continue;
-    unsentStops.delete(placement);
-    ordersByMachine.set(machine, orders);
-    orders.push(stopOrder(placement, stopRequest));
+    if (orders.length > 0) out.push(sendOrders(machine, orders));
   }
-  for (const [machine, orders] of ordersByMachine) out.push(sendOrders(machine, orders));
 }
 
 /**
@@ -61,8 +56,9 @@
   for (const machine of requested) out.push(sendOrders(machine, []));
 }
 
-const isPlaced = (placement: Placement): boolean =>
-  placement.job.placements.get(placement.index) === placement;
+/** Whether this process has not sent the start of a placement, and no worker has listed it. */
+const isNeitherSentNorListed = ({ startSentWith, phase }: Placement): boolean =>
+  startSentWith === null && phase === 'placed';
 
 const isReachable = ({ endpoint, confirmedAt }: ScheduledMachine): boolean =>
   endpoint !== '' && confirmedAt > 0;
--- a/test/large-jobs.test.ts
+++ b/test/large-jobs.test.ts
@@ -249,6 +249,22 @@
     );
   });
 
+// Guards against steps that visit each task whose stop cannot be sent yet, however many steps that takes.
+test('steps of a controller do not visit tasks on machines that cannot be reached to stop them', () => {
+  const visits = [smallSize, 2 * smallSize].map((tasks) => {
+    const { world, node } = new PlacedJob({ tasks });
+    node.alive = false;
+    world.advance(1);
+    node.boot();
+    const hasLoaded = (): boolean => node.controller.shardManager.jobs.has('req-1');
+    assert.ok(world.advanceUntil(hasLoaded, 30), 'the job is loaded again');
+    assert.equal(node.cancel('req-1')?.status, 200);
+    return countVisits(() => world.advance(0.5));
+  });
+  const [small, large] = visits;
+  assert.ok(large - small < smallSize, `${small} visits, and ${large} with ${smallSize} more tasks`);
+});
+
 // Guards against calls that return into themselves for each task, which end a controller with a stack overflow.
 test('a gang of the largest size is torn down without a stack overflow when one of its tasks fails', () => {
   const placed = new PlacedJob({ tasks: maxTasks, ...gang });
