--- a/src/effect-handlers.ts
+++ b/src/effect-handlers.ts
@@ -3,6 +3,7 @@
 import type { CloudProvider } from './cloud/cloud-provider.js';
 import type { Command, Effect } from './core/effects.js';
 import type { RecoveryRecords } from './core/recovery-records.js';
+import type { ForwardedHeartbeats } from './peers/forwarded-heartbeats.js';
 import type { PeerMesh } from './peers/mesh.js';
 import type { Follower } from './state/follower.js';
 import type { StateService } from './state/state-service.js';
@@ -17,6 +18,7 @@
   readonly follower: Follower;
   /** null: there are no peers, or the mesh has not been started yet. */
   readonly peerMesh: PeerMesh | null;
+  readonly forwardedHeartbeats: ForwardedHeartbeats;
   readonly instanceId: string;
   /** Queues a command. */
   readonly enqueue: (command: Command) => void;
@@ -36,8 +38,8 @@
 const peerHandlers: HandlersOf<
   'forward-heartbeat' | 'peer-status' | 'rejected-jobs' | 'query-freshness' | 'confirm-freshness'
 > = {
-  'forward-heartbeat': ({ to, requestId, report }, { peerMesh, enqueue }) => {
-    if (!peerMesh?.send(to, { type: 'forwarded-heartbeat', id: requestId, heartbeat: report }))
+  'forward-heartbeat': ({ to, requestId, report }, { peerMesh, forwardedHeartbeats, enqueue }) => {
+    if (!peerMesh?.send(to, forwardedHeartbeats.forward(requestId, report)))
       enqueue({ type: 'forwarded-response', requestId, status: 503, body: {} });
   },
   'peer-status': ({ status }, { peerMesh }) => peerMesh?.broadcast({ type: 'peer-status', status }),
--- a/src/service.ts
+++ b/src/service.ts
@@ -11,6 +11,7 @@
 import { RequestQueue } from './request-queue.js';
 import { limitsOf, type Limits } from './limits/index.js';
 import { MemoryUsage } from './memory-usage.js';
+import { ForwardedHeartbeats } from './peers/forwarded-heartbeats.js';
 import type { PeerMesh } from './peers/mesh.js';
 import type { RecoveryRecords } from './core/recovery-records.js';
 import type { Frame } from './peers/frames.js';
@@ -58,9 +59,7 @@
   private readonly requestQueue: RequestQueue;
   private readonly memoryUsage: MemoryUsage;
   private peerMesh: PeerMesh | null = null;
-  /** Heartbeats forwarded by peers that have no response yet, by this process's request ID. */
-  private readonly forwardedRequests = new Map<number, { to: string; id: number }>();
-  private forwardedCount = 0;
+  private readonly forwardedHeartbeats = new ForwardedHeartbeats();
   private effectContext: EffectContext;
   private scheduled = false;
   private shutdown: Promise<void> | null = null;
@@ -236,20 +235,16 @@
         this.enqueue({ type: 'peer-status', from, status: frame.status });
         break;
       case 'forwarded-heartbeat': {
-        // Negative, so that the IDs never collide with those of the requests to this process's own server.
-        const requestId = -++this.forwardedCount;
-        this.forwardedRequests.set(requestId, { to: from, id: frame.id });
+        const requestId = this.forwardedHeartbeats.receive(from, frame);
         this.enqueue({ type: 'heartbeat', requestId, report: frame.heartbeat, from });
         break;
       }
-      case 'forwarded-response':
-        this.enqueue({
-          type: 'forwarded-response',
-          requestId: frame.id,
-          status: frame.status,
-          body: frame.body,
-        });
+      case 'forwarded-response': {
+        const { status, body } = frame;
+        const requestId = this.forwardedHeartbeats.requestAnsweredBy(frame);
+        this.enqueue({ type: 'forwarded-response', requestId, status, body });
         break;
+      }
       case 'freshness-query':
         this.enqueue({ type: 'freshness-query', from, query: frame.query });
         break;
@@ -302,13 +297,15 @@
 
   /** The context of effects until the core is restarted or the mesh is started. */
   private createEffectContext(): EffectContext {
-    const { store, cloud, workerClient, follower, peerMesh, instanceId, restarts } = this;
+    const { store, cloud, workerClient, follower, peerMesh, forwardedHeartbeats, instanceId, restarts } =
+      this;
     return {
       store,
       cloud,
       workerClient,
       follower,
       peerMesh,
+      forwardedHeartbeats,
       instanceId,
       enqueue: (command) => this.enqueue(command),
       // Results of requests from before a restart of the core are dropped.
@@ -321,10 +318,8 @@
   /** Responds to a request to this process's own server, or through the peer that forwarded it. */
   private respond(response: Extract<Effect, { type: 'respond' }>): void {
     const { requestId, status, body, retryAfterS } = response;
-    const forwarded = this.forwardedRequests.get(requestId);
-    if (!forwarded) return this.publicServer.respond(requestId, status, body, retryAfterS);
-    this.forwardedRequests.delete(requestId);
-    const text = typeof body === 'string' ? body : JSON.stringify(body);
-    this.peerMesh?.send(forwarded.to, { type: 'forwarded-response', id: forwarded.id, status, body: text });
+    const forwarded = this.forwardedHeartbeats.respond(requestId, status, body);
+    if (forwarded) this.peerMesh?.send(forwarded.to, forwarded.frame);
+    else this.publicServer.respond(requestId, status, body, retryAfterS);
   }
 }
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -60,6 +60,8 @@
   cloudDown = false;
   /** Transactions of controllers with `holdsCommits`, which the state service has not received yet. */
   readonly heldCommits: Transaction[] = [];
+  /** Responses to forwarded heartbeats that are held on their way to the peer; null: they are delivered. */
+  heldPeerResponses: (() => void)[] | null = null;
   /** Whether controllers can reach each other. */
   peersConnected = true;
   /** Whether an exception in a controller ends only its process and not the test. */
