--- a/src/peers/frame-schema.ts
+++ b/src/peers/frame-schema.ts
@@ -46,7 +46,11 @@
     },
     /** A worker's heartbeat, forwarded by a controller that does not own the worker's machine to the one that does. */
     ForwardedHeartbeat: {
-      fields: { id: { type: 'uint32', id: 1 }, heartbeat: { type: 'Heartbeat', id: 2 } },
+      fields: {
+        id: { type: 'uint32', id: 1 },
+        heartbeat: { type: 'Heartbeat', id: 2 },
+        instanceId: { type: 'string', id: 3 },
+      },
     },
     Heartbeat: {
       fields: {
@@ -81,6 +85,7 @@
         id: { type: 'uint32', id: 1 },
         status: { type: 'uint32', id: 2 },
         body: { type: 'string', id: 3 },
+        instanceId: { type: 'string', id: 4 },
       },
     },
     PeerStatus: {
@@ -223,8 +228,8 @@
 /** A decoded frame: at most one field is set; none if a newer program sent a message that this one does not know. */
 export interface WireFrame {
   hello?: WireHello | null;
-  forwardedHeartbeat?: { id: number; heartbeat: WireHeartbeat | null } | null;
-  forwardedResponse?: { id: number; status: number; body: string } | null;
+  forwardedHeartbeat?: { id: number; instanceId: string; heartbeat: WireHeartbeat | null } | null;
+  forwardedResponse?: { id: number; instanceId: string; status: number; body: string } | null;
   peerStatus?: WirePeerStatus | null;
   rejectedJobs?: { rejections: WireRejection[] } | null;
   freshnessQuery?: WireFreshnessQuery | null;
--- a/src/peers/frames.ts
+++ b/src/peers/frames.ts
@@ -29,11 +29,19 @@
       readonly instanceId: string;
       readonly speaks: MessageFormatRange;
     }
-  | { readonly type: 'forwarded-heartbeat'; readonly id: number; readonly heartbeat: Heartbeat }
+  | {
+      readonly type: 'forwarded-heartbeat';
+      readonly id: number;
+      /** The process that forwards it; empty: a program of an earlier version does. */
+      readonly instanceId: string;
+      readonly heartbeat: Heartbeat;
+    }
   /** The HTTP response to a forwarded heartbeat, to be passed on to the worker unchanged. */
   | {
       readonly type: 'forwarded-response';
       readonly id: number;
+      /** The process that forwarded the heartbeat; empty: a program of an earlier version responds. */
+      readonly instanceId: string;
       readonly status: number;
       readonly body: string;
     }
@@ -216,9 +224,22 @@
     case 'hello':
       return { hello: encodeHello(frame) };
     case 'forwarded-heartbeat':
-      return { forwardedHeartbeat: { id: frame.id, heartbeat: encodeHeartbeat(frame.heartbeat) } };
+      return {
+        forwardedHeartbeat: {
+          id: frame.id,
+          instanceId: frame.instanceId,
+          heartbeat: encodeHeartbeat(frame.heartbeat),
+        },
+      };
     case 'forwarded-response':
-      return { forwardedResponse: { id: frame.id, status: frame.status, body: frame.body } };
+      return {
+        forwardedResponse: {
+          id: frame.id,
+          instanceId: frame.instanceId,
+          status: frame.status,
+          body: frame.body,
+        },
+      };
     case 'peer-status':
       return { peerStatus: encodeStatus(frame.status) };
     case 'freshness-query':
@@ -249,12 +270,13 @@
   const message = frameType.decode(body) as WireFrame;
   if (message.hello) return decodeHello(message.hello);
   if (message.forwardedHeartbeat) {
-    const { id, heartbeat } = message.forwardedHeartbeat;
-    return heartbeat ? { type: 'forwarded-heartbeat', id, heartbeat: decodeHeartbeat(heartbeat) } : null;
+    const { id, instanceId, heartbeat } = message.forwardedHeartbeat;
+    if (!heartbeat) return null;
+    return { type: 'forwarded-heartbeat', id, instanceId, heartbeat: decodeHeartbeat(heartbeat) };
   }
   if (message.forwardedResponse) {
-    const { id, status, body: text } = message.forwardedResponse;
-    return { type: 'forwarded-response', id, status, body: text };
+    const { id, instanceId, status, body: text } = message.forwardedResponse;
+    return { type: 'forwarded-response', id, instanceId, status, body: text };
   }
   if (message.peerStatus) return { type: 'peer-status', status: decodeStatus(message.peerStatus) };
   if (message.rejectedJobs)
--- a/src/service.ts
+++ b/src/service.ts
@@ -11,7 +11,7 @@
 import { RequestQueue } from './request-queue.js';
 import { limitsOf, type Limits } from './limits/index.js';
 import { MemoryUsage } from './memory-usage.js';
-import { ForwardedHeartbeats } from './peers/forwarded-heartbeats.js';
+import { ForwardedHeartbeats, heartbeatIdCount } from './peers/forwarded-heartbeats.js';
 import type { PeerMesh } from './peers/mesh.js';
 import type { RecoveryRecords } from './core/recovery-records.js';
 import type { Frame } from './peers/frames.js';
@@ -59,7 +59,7 @@
   private readonly requestQueue: RequestQueue;
   private readonly memoryUsage: MemoryUsage;
   private peerMesh: PeerMesh | null = null;
-  private readonly forwardedHeartbeats = new ForwardedHeartbeats();
+  private readonly forwardedHeartbeats: ForwardedHeartbeats;
   private effectContext: EffectContext;
   private scheduled = false;
   private shutdown: Promise<void> | null = null;
@@ -78,6 +78,8 @@
     const seed = randomBytes(4);
     this.instanceId = seed.toString('hex');
     this.random = seededRandom(seed.readInt32LE());
+    const firstHeartbeatId = Math.floor(this.random() * heartbeatIdCount);
+    this.forwardedHeartbeats = new ForwardedHeartbeats(this.instanceId, firstHeartbeatId);
     const stateLeaseMs = settings.workers.lease_s * 1000 * operators['node-lease-ratio'];
     this.retry = retryPolicies({ ...settings, stateLeaseMs });
     this.limits = limitsOf(settings);
@@ -242,7 +244,7 @@
       case 'forwarded-response': {
         const { status, body } = frame;
         const requestId = this.forwardedHeartbeats.requestAnsweredBy(frame);
-        this.enqueue({ type: 'forwarded-response', requestId, status, body });
+        if (requestId !== null) this.enqueue({ type: 'forwarded-response', requestId, status, body });
         break;
       }
       case 'freshness-query':
