--- a/src/agent/agent-server.ts
+++ b/src/agent/agent-server.ts
@@ -66,7 +66,8 @@
 
   private async executeOrders(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const orders = parseDirectOrders(await readJson(req, maxBodyBytes));
-    if (!orders) return reply(res, 400, { error: 'baton and tenure are needed' });
+    if (!orders)
+      return reply(res, 400, { error: 'baton and tenure are needed, and run is not accepted here' });
     const executed = this.backend.executeOrders(orders);
     reply(res, executed ? 200 : 409, encodeAgentReport(this.backend.buildReport()));
   }
--- a/src/agent/worker.ts
+++ b/src/agent/worker.ts
@@ -1,5 +1,5 @@
 /** The worker's side of the protocol as a pure state machine: epochs, the lease, fencing tokens and held tasks. */
-import type { TaskOrder } from '../model/heartbeat.js';
+import type { DirectOrder, TaskOrder } from '../model/heartbeat.js';
 import { taskKey } from '../model/job.js';
 import type { AgentReport, HeartbeatResponse, AgentTask, TaskResult } from '../wire/agent.js';
 
@@ -107,7 +107,7 @@
   onDirectOrders(
     fencingToken: number,
     agentEpoch: number,
-    orders: readonly TaskOrder[],
+    orders: readonly DirectOrder[],
   ): WorkerEffect[] | null {
     if (fencingToken < this.state.fencingToken || agentEpoch !== this.state.agentEpoch) return null;
     const effects: WorkerEffect[] = [];
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -6,7 +6,7 @@
 import type { JobSpec } from '../model/job.js';
 import type { MachineType } from '../model/machine.js';
 import type { RecoveryRecords } from './recovery-records.js';
-import type { TaskOrder, Heartbeat } from '../model/heartbeat.js';
+import type { DirectOrder, Heartbeat } from '../model/heartbeat.js';
 import type { MachineAttributes } from '../policy/matching.js';
 import type { FreshnessQuery } from '../freshness/index.js';
 import type { ListedMachine, RentalOutcome, RentRequest } from '../wire/cloud.js';
@@ -125,7 +125,7 @@
       endpoint: string;
       token: number;
       session: number;
-      orders: TaskOrder[];
+      orders: DirectOrder[];
     };
 
 /** The clock readings of one step. */
--- a/src/core/task-orders.ts
+++ b/src/core/task-orders.ts
@@ -1,5 +1,5 @@
 /** Creates orders for workers, and sends those that do not wait for a heartbeat. */
-import type { TaskOrder } from '../model/heartbeat.js';
+import type { StopOrder } from '../model/heartbeat.js';
 import type { Effect } from './effects.js';
 import { isPlaced } from './shard-state/jobs.js';
 import type { ShardState } from './shard-state/shard-state.js';
@@ -9,7 +9,7 @@
 export const maxOrdersPerMessage = 400;
 
 /** Creates the order that stops a task. */
-export const stopOrder = ({ job, index, attempt }: Placement, { graceS }: StopRequest): TaskOrder => ({
+export const stopOrder = ({ job, index, attempt }: Placement, { graceS }: StopRequest): StopOrder => ({
   op: 'stop',
   job: job.id,
   index,
@@ -25,7 +25,7 @@
   for (const [host, placements] of unsentStops.entries()) {
     const machine = machines.get(host);
     if (!machine || !isReachable(machine)) continue;
-    const orders: TaskOrder[] = [];
+    const orders: StopOrder[] = [];
     for (const placement of placements) {
       if (orders.length >= maxOrdersPerMessage) break;
       const { stopRequest } = placement;
@@ -63,7 +63,7 @@
 const isReachable = ({ endpoint, confirmedAt }: ScheduledMachine): boolean =>
   endpoint !== '' && confirmedAt > 0;
 
-const sendOrders = (machine: ScheduledMachine, orders: TaskOrder[]): Effect => ({
+const sendOrders = (machine: ScheduledMachine, orders: StopOrder[]): Effect => ({
   type: 'send-task-commands',
   host: machine.host,
   endpoint: machine.endpoint,
--- a/src/model/heartbeat.ts
+++ b/src/model/heartbeat.ts
@@ -44,3 +44,12 @@
   | { op: 'start'; job: string; index: number; attempt: number }
   | { op: 'stop'; job: string; index: number; attempt: number; graceS: number }
   | { op: 'forget'; job: string; index: number; attempt: number };
+
+/** An order that stops a task. */
+export type StopOrder = Extract<TaskOrder, { op: 'stop' }>;
+
+/**
+ * An order that may be sent outside of heartbeat responses. Starts may not: the message may arrive late, when the task has ended or
+ * runs elsewhere.
+ */
+export type DirectOrder = Exclude<TaskOrder, { op: 'start' }>;
--- a/src/wire/agent.ts
+++ b/src/wire/agent.ts
@@ -4,7 +4,7 @@
  */
 import * as v from 'valibot';
 import { taskKey, parseTaskKey, type CommandSpec } from '../model/job.js';
-import type { ExitReason, TaskOrder, TaskPhase } from '../model/heartbeat.js';
+import type { DirectOrder, ExitReason, TaskOrder, TaskPhase } from '../model/heartbeat.js';
 import { phaseName, exitReasonName } from './worker.js';
 
 /** How a task on an agent ended. Times are times of day, ms. */
@@ -131,19 +131,25 @@
   return typeof boss === 'string' ? boss : null;
 }
 
+const isDirectOrder = (order: TaskOrder): order is DirectOrder => order.op !== 'start';
+
 /** Task orders that are sent outside of heartbeat responses. */
 export interface DirectOrders {
   token: number;
   session: number;
-  orders: TaskOrder[];
+  orders: DirectOrder[];
 }
 
-/** Reads task orders that were sent directly; null: malformed, or without fencing token or agent epoch. */
+/**
+ * Reads task orders that were sent directly; null: malformed, without fencing token or agent epoch, or with a start. A start that
+ * arrives late would run a task that has ended or is elsewhere, as an agent does not remember the attempts it has forgotten.
+ */
 export function parseDirectOrders(body: unknown): DirectOrders | null {
   const r = v.safeParse(directOrders, body);
   if (!r.success) return null;
   const { baton, tenure, orders } = r.output;
-  return { token: baton, session: tenure, orders: decodeTaskOrders(orders) };
+  const decoded = decodeTaskOrders(orders);
+  return decoded.every(isDirectOrder) ? { token: baton, session: tenure, orders: decoded } : null;
 }
 
 const result = v.object({
--- a/src/wire/worker.ts
+++ b/src/wire/worker.ts
@@ -5,7 +5,14 @@
  */
 import * as v from 'valibot';
 import { taskKey, parseTaskKey } from '../model/job.js';
-import type { ExitReason, TaskOrder, Heartbeat, TaskPhase, TaskStatus } from '../model/heartbeat.js';
+import type {
+  DirectOrder,
+  ExitReason,
+  TaskOrder,
+  Heartbeat,
+  TaskPhase,
+  TaskStatus,
+} from '../model/heartbeat.js';
 
 /** Task phases by their names in the protocol. */
 const phases: Record<string, TaskPhase> = {
@@ -94,8 +101,8 @@
   baton: token,
   orders: orders.map(encodeTaskOrder),
 });
-/** Task orders that are sent to a worker directly, in the protocol's form. */
-export const encodeTaskOrders = (token: number, session: number, orders: TaskOrder[]): object => ({
+/** Orders that are sent to a worker directly, in the protocol's form. */
+export const encodeDirectOrders = (token: number, session: number, orders: DirectOrder[]): object => ({
   baton: token,
   tenure: session,
   orders: orders.map(encodeTaskOrder),
--- a/src/workers/worker-client.ts
+++ b/src/workers/worker-client.ts
@@ -1,12 +1,12 @@
 /** HTTP client that sends orders to workers directly, without waiting for their next heartbeat. */
 import { Agent } from 'node:http';
 import { requestJson } from '../net/client.js';
-import type { TaskOrder } from '../model/heartbeat.js';
-import { encodeTaskOrders } from '../wire/worker.js';
+import type { DirectOrder } from '../model/heartbeat.js';
+import { encodeDirectOrders } from '../wire/worker.js';
 
 /**
- * Sends orders to workers. Only stop orders are sent this way: a delayed stop of an attempt does no harm, whereas a delayed
- * start could run a task twice.
+ * Sends orders to workers. No start is sent this way: a delayed stop of an attempt does no harm, whereas a delayed start could
+ * run a task twice.
  */
 export class WorkerClient {
   private readonly agent: Agent;
@@ -24,9 +24,9 @@
     endpoint: string,
     fencingToken: number,
     agentEpoch: number,
-    orders: TaskOrder[],
+    orders: DirectOrder[],
   ): Promise<boolean> {
-    const body = encodeTaskOrders(fencingToken, agentEpoch, orders);
+    const body = encodeDirectOrders(fencingToken, agentEpoch, orders);
     const reply = await requestJson(this.agent, endpoint, 'POST', '/orders', body, this.timeoutMs);
     return reply?.status === 200;
   }
--- a/test/agent.test.ts
+++ b/test/agent.test.ts
@@ -15,7 +15,7 @@
 import { Worker, type WorkerEffect } from '../src/agent/worker.js';
 import { defaultAgentSettings, parseAgentSettings } from '../src/agent/settings.js';
 import { parseControlSettings } from '../src/control/settings.js';
-import type { AgentJob, AgentTask, TaskResult } from '../src/wire/agent.js';
+import { parseDirectOrders, type AgentJob, type AgentTask, type TaskResult } from '../src/wire/agent.js';
 import type { TaskOrder } from '../src/model/heartbeat.js';
 
 const identity = { host: 'd.1', endpoint: '127.0.0.1:1', type: 't', zone: 'here' };
@@ -82,6 +82,16 @@
   assert.deepEqual([...worker.tasks], []);
 });
 
+// Guards against a late copy of a start order that is sent to an agent's address: the agent no longer knows the attempt it has forgotten.
+test('agent: orders that are sent directly are not accepted with a start among them', () => {
+  const stop = { verb: 'kill', piece: 'req-1/0', try: 1, windDownS: 3 };
+  const start = { verb: 'run', piece: 'req-1/1', try: 1 };
+  assert.equal(parseDirectOrders({ baton: 5, tenure: 1, orders: [stop, start] }), null);
+  assert.deepEqual(parseDirectOrders({ baton: 5, tenure: 1, orders: [stop] })?.orders, [
+    { op: 'stop', job: 'req-1', index: 0, attempt: 1, graceS: 3 },
+  ]);
+});
+
 test('worker: tasks of a gang wait until a response names their attempt as complete', () => {
   const worker = new Worker(identity, { agentEpoch: 1, seq: 0, fencingToken: 0 }, 10_000, 0);
   worker.onHeartbeatResponse(heartbeatResponse(1, [startOrder(0, 7), startOrder(1, 7)]), 0, 1);
