--- a/src/agent/worker.ts
+++ b/src/agent/worker.ts
@@ -40,6 +40,8 @@
  */
 export class Worker {
   private readonly tasksByKey = new Map<string, AgentTask>();
+  /** The attempt of each task that has not ended, by task key. There is at most one. */
+  private readonly unfinishedAttempts = new Map<string, AgentTask>();
   /** When the most recent answered heartbeat was sent. */
   private leaseStartMs: number;
 
@@ -51,7 +53,12 @@
     tasks: readonly AgentTask[] = [],
   ) {
     this.leaseStartMs = leaseStart;
-    for (const task of tasks) this.tasksByKey.set(attemptKey(task), task);
+    for (const task of tasks) this.add(task);
+  }
+
+  private add(task: AgentTask): void {
+    this.tasksByKey.set(attemptKey(task), task);
+    if (task.phase !== 'exited') this.unfinishedAttempts.set(taskKey(task.job, task.index), task);
   }
 
   /** All tasks that the worker holds, including ended ones that the control service has not told it to forget. */
@@ -98,9 +105,7 @@
       effects.push({ type: 'persist-state' }, { type: 'heartbeat-soon' });
     }
     this.leaseStartMs = Math.max(this.leaseStartMs, sentAt);
-    effects.push(...this.executeOrders(response.orders));
-    for (const gang of response.gangs) effects.push(...this.startGang(gang));
-    return effects;
+    return [...effects, ...this.executeOrders(response.orders), ...this.startGangs(new Set(response.gangs))];
   }
 
   /** Processes orders sent outside heartbeat responses; null if they are for another epoch or their token is outdated. */
@@ -135,6 +140,7 @@
     for (const task of this.tasksByKey.values())
       effects.push({ type: 'stop', task, graceS: 0 }, { type: 'forget', task });
     this.tasksByKey.clear();
+    this.unfinishedAttempts.clear();
     effects.push({ type: 'persist-state' });
     return effects;
   }
@@ -145,19 +151,7 @@
       const task = this.tasksByKey.get(attemptKey(order));
       if (order.op === 'start') {
         // A repeated order for an attempt that the worker already holds has no effect.
-        if (task) continue;
-        const newTask: AgentTask = {
-          job: order.job,
-          index: order.index,
-          attempt: order.attempt,
-          ...newTaskState,
-        };
-        const alreadyRunning = [...this.tasksByKey.values()].some(
-          (t) => t.job === order.job && t.index === order.index && t.phase !== 'exited',
-        );
-        this.tasksByKey.set(attemptKey(order), newTask);
-        if (alreadyRunning) effects.push(...this.onExited(newTask, 'busy', null, false));
-        else effects.push({ type: 'prepare', task: newTask });
+        if (!task) effects.push(this.start(order));
       } else if (task) {
         if (order.op === 'forget' && task.phase === 'exited') {
           this.tasksByKey.delete(attemptKey(order));
@@ -180,10 +174,24 @@
     return [{ type: 'stop', task, graceS: 0 }, { type: 'heartbeat-soon' }];
   }
 
-  private startGang(gang: string): WorkerEffect[] {
+  /** Takes on a new attempt of a task; it ends immediately if another attempt has not ended yet. */
+  private start({ job, index, attempt }: Attempt): WorkerEffect {
+    const task: AgentTask = { job, index, attempt, ...newTaskState };
+    if (!this.unfinishedAttempts.has(taskKey(job, index))) {
+      this.add(task);
+      return { type: 'prepare', task };
+    }
+    Object.assign(task, { phase: 'exited', why: 'busy' });
+    this.add(task);
+    return { type: 'heartbeat-soon' };
+  }
+
+  /** Runs the waiting tasks of the gang attempts that are complete. */
+  private startGangs(complete: ReadonlySet<string>): WorkerEffect[] {
     const effects: WorkerEffect[] = [];
+    if (complete.size === 0) return effects;
     for (const task of this.tasksByKey.values())
-      if (task.phase === 'waiting' && gangKey(task) === gang) {
+      if (task.phase === 'waiting' && complete.has(gangKey(task))) {
         task.phase = 'running';
         effects.push({ type: 'run', task }, { type: 'heartbeat-soon' });
       }
@@ -211,12 +219,16 @@
   ): WorkerEffect[] {
     if (!this.holds(task) || task.phase === 'exited') return [];
     Object.assign(task, { phase: 'exited', why, result, saved });
+    const key = taskKey(task.job, task.index);
+    if (this.unfinishedAttempts.get(key) === task) this.unfinishedAttempts.delete(key);
     return [{ type: 'heartbeat-soon' }];
   }
 }
 
-const attemptKey = (task: { job: string; index: number; attempt: number }): string =>
-  `${taskKey(task.job, task.index)} ${task.attempt}`;
+/** What identifies an attempt of a task. */
+type Attempt = Pick<AgentTask, 'job' | 'index' | 'attempt'>;
+
+const attemptKey = (task: Attempt): string => `${taskKey(task.job, task.index)} ${task.attempt}`;
 
 const newTaskState: Pick<AgentTask, 'phase' | 'why' | 'saved' | 'result'> = {
   phase: 'fetching',
