--- a/test/attempt-results.test.ts
+++ b/test/attempt-results.test.ts
@@ -77,3 +77,15 @@
   assert.deepEqual(observe('d.1', 0), ['req-1 7']);
   assert.deepEqual(observe('d.2', 1), ['req-1 7']);
 });
+
+// Guards against a gang that starts without a task which its machine no longer lists.
+test('control: a gang is not complete while a machine that listed one of its tasks lists only the others', () => {
+  const rendezvous = new GangRendezvous({ pendingTasks: () => 2, leaseMs: 10_000, now: () => 0 });
+  const observe = (...indices: number[]): string[] => {
+    const pieces = indices.map((index) => ({ piece: `req-1/${index}`, try: 7, status: 'waiting' }));
+    return rendezvous.observe(parseHeartbeat(heartbeatWith(pieces)) as Heartbeat);
+  };
+  assert.deepEqual(observe(1), []);
+  assert.deepEqual(observe(0), []);
+  assert.deepEqual(observe(0, 1), ['req-1 7']);
+});
